Cut-off nodes: relayed freshness, most vanes' word, writes that most can hear of

A core cut from every vane acknowledged writes that nobody could know.

Now a vane takes new work only while a mast confirmed its version in the last 2 s, or another vane passes that on with its age, or more than half of the vanes that are known say they know nothing younger; the list of engines is passed on the same way and never takes an engine away. A vane that is alone answers 613, not run, with Retry-After. A read that knows more than a mast has wakes its link.

Found by it, both older: (1) a machine held as gone under a higher incarnation was not heard again after a quick restart, for up to ten minutes, since gone entries are not gossiped; it is now told of its old number. Also: spoil() drew twice through MIN and erased past the end; two disks spoilt within one view change are two losses at once, so the story waits between them.

--- a/lib/mast/core.c
+++ b/lib/mast/core.c
@@ -426,6 +426,17 @@
   }
 }
 
+const state *core_ordered(core *c) {
+  if (c->specOk) return &c->spec;
+  state_copy(&c->spec, &c->held);
+  for (GList *l = c->recent.head; l; l = l->next) {
+    record *x = l->data;
+    if (x->seq > c->spec.seq && x->seq <= c->last) state_apply(&c->spec, x->seq, str_g(x->op));
+  }
+  c->specOk = true;
+  return &c->spec;
+}
+
 int core_write(core *c, core_make make, void *ctx, tick span, uint64_t *seq, err *e) {
   world *w = c->s->w;
   tick till = t_add(w_now(w), span);
@@ -435,14 +446,7 @@
   else if (view_thin(&c->now)) r = err_set(e, E_THIN, "the chain spans fewer than two areas; nothing was written");
   else if (c->last - c->held.seq > PENDING_MOST) r = err_set(e, E_BUSY, "too many writes wait for the tail; nothing was written");
   GString *op = g_string_new(NULL), *b = g_string_new(NULL);
-  if (!r && !c->specOk) {
-    state_copy(&c->spec, &c->held);
-    for (GList *l = c->recent.head; l; l = l->next) {
-      record *x = l->data;
-      if (x->seq > c->spec.seq && x->seq <= c->last) state_apply(&c->spec, x->seq, str_g(x->op));
-    }
-    c->specOk = true;
-  }
+  if (!r) core_ordered(c);
   if (!r) r = make(ctx, &c->spec, op, e);
   uint64_t gen = c->resets, n = c->last + 1, epoch = c->now.epoch;
   if (!r && op->len) {
--- a/lib/mast/core.h
+++ b/lib/mast/core.h
@@ -50,6 +50,8 @@
 bool core_tails(core *c);
 /** True when the chain spans fewer than two areas. */
 bool view_thin(const view *v);
+/** The state with all that is ordered here, whether the tail has it yet or not. */
+const state *core_ordered(core *c);
 /** Makes an op under the head's lock, orders it, and waits until the tail has it. Blank op: nothing to do. */
 int core_write(core *c, core_make make, void *ctx, tick span, uint64_t *seq, err *e);
 /** The member at the head or the tail that this machine knows of; NULL when there is none. */
--- a/lib/mast/mast.c
+++ b/lib/mast/mast.c
@@ -91,8 +91,11 @@
   int young = 0;
   for (size_t i = 0; i < in->holds->n_holds; i++) {
     Wire__Hold *h = in->holds->holds[i];
-    const grant *g = state_grant(&c->held, h->duty);
-    if (g && id_eq(g->holder, x.who) && g->nonce == x.nonce) {
+    /* a grant to another that is on its way through the chain ends this one: both states must name the asker */
+    const grant *g = state_grant(&c->held, h->duty), *next = state_grant(core_ordered(c), h->duty);
+    bool same = g && next && g->epoch == next->epoch && id_eq(g->holder, x.who) && g->nonce == x.nonce;
+    if (!same && next && id_eq(next->holder, x.who) && next->nonce == x.nonce) continue;
+    if (same) {
       Wire__HoldGot *a = got_add(&x, h->duty);
       a->ok = !h->leave;
       a->epoch = g->epoch;
@@ -113,6 +116,8 @@
   core *c = &m->c;
   if (!c->up || !c->now.epoch || core_place(c) < 0 || !c->whole) return err_set(e, E_CORE, "no state is known here");
   if (in->news->fleet && in->news->fleet != c->now.fleet) return err_set(e, E_VIEW, "another fleet");
+  /* a read that knows more than this copy mends it at once */
+  if (in->news->seq > c->held.seq) bell_ring(&c->work);
   tick till = t_add(w_now(m->s.w), t_ms(500));
   while (c->held.seq <= in->news->seq && in->news->seq) if (bell_wait(&m->s.w->tasks, &c->moved, till) != RUNG) break;
   Wire__NewsBack *b = reply_new(o, WIRE__ENVELOPE__BODY_NEWSBACK, &wire__news_back__descriptor);
@@ -132,6 +137,30 @@
   return OK;
 }
 
+/* what each vane has in force; a vane that restarted counts by its new run only */
+typedef struct { uint64_t nonce, seq; } having;
+
+static int on_have(void *ctx, Wire__Envelope *in, reply *o, err *e) {
+  mast *m = ctx;
+  (void)o; (void)e;
+  if (!m->c.up || in->have->fleet != m->c.now.fleet || in->from->role != ROLE_VANE) return OK;
+  having *h = g_hash_table_lookup(m->have, in->from->id);
+  if (!h) { h = g_new0(having, 1); g_hash_table_insert(m->have, g_strdup(in->from->id), h); }
+  if (h->nonce != in->from->nonce || in->have->seq > h->seq) { h->nonce = in->from->nonce; h->seq = in->have->seq; bell_ring(&m->had); }
+  return OK;
+}
+
+/* half of the vanes that are known, gone ones too: more than half serve without the core, so one of these is among them */
+static bool had(mast *m, uint64_t seq, int *got, int *all) {
+  *got = 0;
+  *all = site_known(&m->s, ROLE_VANE);
+  list_each(k, &m->s.machines, machine, n) {
+    having *h = k->role == ROLE_VANE && !k->leaving ? g_hash_table_lookup(m->have, k->self.s) : NULL;
+    *got += h && h->nonce == k->nonce && h->seq >= seq;
+  }
+  return *got >= (*all + 1) / 2;
+}
+
 /* the operators' API */
 typedef struct { mast *m; int which; ask *a; uint64_t match, seen, hash; bool any, dup; const char *key; } write_ctx;
 
@@ -184,7 +213,7 @@
     case E_RACE: return 412;
     case E_KEY: return 422;
     case E_SIZE: return 413;
-    case E_UNSURE: case E_TIME: return 504;
+    case E_UNSURE: case E_TIME: case E_FEW: return 504;
     case E_CORE: case E_THIN: case E_BUSY: case E_LEASE: case E_VIEW: case E_DEAD: case E_FULL: case E_DISK: return 503;
     default: return code >= E_JSON && code < E_WIRE ? 400 : 500;
   }
@@ -246,6 +275,10 @@
     while (c->held.seq < seq) if (bell_wait(&m->s.w->tasks, &c->moved, till) != RUNG) break;
     if (c->held.seq < seq) r = err_set(&e, E_UNSURE, "the first try of this write is not confirmed yet");
   }
+  tick till = t_add(w_now(m->s.w), t_ms(4000));
+  int got = 0, all = 0;
+  while (!r && !had(m, seq, &got, &all))
+    if (bell_wait(&m->s.w->tasks, &m->had, till) != RUNG) r = err_set(&e, E_FEW, "write %" PRIu64 " stands, but only %d of %d vanes have it in force yet", seq, got, all);
   if (r) {
     m->refused++;
     say(&m->s.log, "api", "Refused a write of %s from %s: %s (code %d).", res_name[which], a->from, e.text, r);
@@ -392,6 +425,9 @@
   site_init(&m->s, w, v);
   site_on(&m->s, WIRE__ENVELOPE__BODY_HOLDS, on_holds, m);
   site_on(&m->s, WIRE__ENVELOPE__BODY_NEWS, on_news, m);
+  site_on(&m->s, WIRE__ENVELOPE__BODY_HAVE, on_have, m);
+  m->have = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  bell_init(&m->had);
   w->serve = serve;
   w->serve_ctx = m;
   site_start(&m->s);
@@ -401,6 +437,7 @@
 
 void mast_free(mast *m) {
   core_free(&m->c);
+  g_hash_table_destroy(m->have);
   site_free(&m->s);
   g_free(m);
 }
--- a/lib/site/site.c
+++ b/lib/site/site.c
@@ -142,6 +142,16 @@
 bool machine_lives(const machine *m) { return !m->gone; }
 const char *machine_standing(const machine *m) { return m->gone ? "gone" : m->leaving ? "leaving" : "live"; }
 
+static void name_taken(site *s, const machine *m, const char *addr) {
+  Wire__Node n = WIRE__NODE__INIT, *list = &n;
+  n.id = (char *)m->self.s; n.inc = m->inc; n.nonce = m->nonce; n.addr = (char *)m->addr; n.area = (char *)m->area.s; n.role = m->role;
+  Wire__Table t = WIRE__TABLE__INIT;
+  t.n_nodes = 1;
+  t.nodes = &list;
+  Wire__Envelope out = wire_msg(WIRE__ENVELOPE__BODY_TABLE, &t);
+  site_cast(s, addr, &out);
+}
+
 static void met(site *s, const Wire__Node *n, bool direct) {
   id who = id_c(n->id);
   tick now = w_now(s->w);
@@ -164,6 +174,11 @@
     m->met = now;
     list_push(&s->machines, &m->n);
   }
+  /* a machine that restarted may be held under its old run here, gone or not: it is told, and takes a younger number */
+  if (!young && direct && n->nonce != m->nonce && n->inc <= m->inc && t_past(now, t_add(m->told, t_ms(200)))) {
+    m->told = now;
+    name_taken(s, m, n->addr);
+  }
   bool newer = young || n->inc > m->inc || (n->inc == m->inc && n->nonce == m->nonce);
   if (!newer && !(direct && n->inc == m->inc && m->gone)) return;
   bool other = !young && n->nonce != m->nonce;
@@ -379,8 +394,10 @@
 machine *site_some(site *s, enum role r, const char *last) {
   GPtrArray *all = g_ptr_array_new();
   machine *got = NULL;
+  bool live = false;
+  list_each(m, &s->machines, machine, n) live |= m->role == r && !m->gone;
   list_each(m, &s->machines, machine, n) {
-    if (m->gone || m->role != r) continue;
+    if (m->role != r || (live && m->gone)) continue;
     if (last && last[0] && !strcmp(last, m->addr)) got = m;
     g_ptr_array_add(all, m);
   }
@@ -389,6 +406,12 @@
   return got;
 }
 
+int site_known(site *s, enum role r) {
+  int n = s->v.role == r;
+  list_each(m, &s->machines, machine, n) n += m->role == r && !m->leaving;
+  return n;
+}
+
 void site_json(site *s, GString *to) {
   tick now = w_now(s->w);
   json_f(to, "[{\"id\":\"%s\",\"role\":\"%s\",\"area\":\"%s\",\"addr\":\"%s\",\"incarnation\":%" PRIu64 ",\"standing\":\"%s\",\"heardMs\":0}",
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -32,7 +32,9 @@
   char addr[48];
   enum role role;
   bool leaving, gone;
-  tick heard, watched, lost, met;
+  tick heard, watched, lost, met, agreed, blind, told;
+  unsigned known;
+  bool asked;
   struct { id by; tick at; } doubts[6];
 } machine;
 
@@ -88,8 +90,10 @@
 machine *site_find(site *s, id who);
 /** True when this node has no ground to think a machine gone. */
 bool machine_lives(const machine *m);
-/** A live machine of a role, drawn by chance, preferring the one at addr `last`; NULL when there is none. */
+/** A live machine of a role, drawn by chance, preferring the one at addr `last`; a gone one when none lives; or NULL. */
 machine *site_some(site *s, enum role r, const char *last);
+/** The machines of a role that are known here and have not said that they leave, gone ones too; this one counts if it has the role. */
+int site_known(site *s, enum role r);
 /** The machines' table as JSON. */
 void site_json(site *s, GString *to);
 /** What every status page says of the process itself, as members of an object. */
--- a/lib/vane/news.c
+++ b/lib/vane/news.c
@@ -12,6 +12,54 @@
   return true;
 }
 
+/* tells the core what is in force here; an answer to an operator waits for most vanes */
+static void tell_core(vane *v) {
+  Wire__Have h = WIRE__HAVE__INIT;
+  h.seq = v->seq; h.fleet = v->fleet;
+  Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_HAVE, &h);
+  list_each(k, &v->s.machines, machine, n) if (k->role == ROLE_MAST && !k->gone) site_cast(&v->s, k->addr, &m);
+}
+
+static tick young(tick a, tick b) { return a.us > b.us ? a : b; }
+static bool within(vane *v, tick at, int64_t ms) { return at.us && !t_past(w_now(v->s.w), t_add(at, t_ms(ms))); }
+
+/* how many vanes there are, as far as anybody in reach knows */
+static int known(vane *v) {
+  int n = site_known(&v->s, ROLE_VANE);
+  list_each(m, &v->s.machines, machine, n) if (m->role == ROLE_VANE && within(v, m->agreed, FRESH_MS)) n = MAX(n, (int)m->known);
+  return n;
+}
+
+/* a write is acknowledged when half of the vanes have it, so more than half together know of it */
+static bool most_agree(vane *v) {
+  int n = v->sure;
+  list_each(m, &v->s.machines, machine, n) n += m->role == ROLE_VANE && within(v, m->agreed, FRESH_MS);
+  return n > known(v) / 2;
+}
+
+static bool most_blind(vane *v) {
+  int n = 1;
+  list_each(m, &v->s.machines, machine, n) n += m->role == ROLE_VANE && within(v, m->blind, LIST_OLD_MS);
+  return n > known(v) / 2;
+}
+
+bool vane_may_enrol(vane *v) {
+  bool may = v->now && v->listKnown && (vane_is_fresh(v) || most_agree(v)) && (within(v, v->listAt, LIST_OLD_MS) || most_blind(v));
+  if (may) v->lost = (tick){ 0 };
+  else if (!v->lost.us) v->lost = w_now(v->s.w);
+  return may;
+}
+
+bool vane_wait_enrol(vane *v) {
+  while (!vane_may_enrol(v)) {
+    tick till = t_add(v->lost, t_ms(1000)), now = w_now(v->s.w);
+    if (t_past(now, till)) return false;
+    tick step = t_add(now, t_ms(100));
+    if (bell_wait(&v->s.w->tasks, &v->moved, step.us < till.us ? step : till) == DEAD) return false;
+  }
+  return true;
+}
+
 /* installs a digest whole, or not at all; never one that is older */
 static bool install(vane *v, const ProtobufCBinaryData *b, const char *from) {
   Wire__Digest *d = wire__digest__unpack(NULL, b->len, b->data);
@@ -56,63 +104,117 @@
     v->h.smooth = c->smooth;
     whisper(&v->s.log, "news", "Version %" PRIu64 " of view %" PRIu64 " is in force, from %s.", d->seq, d->epoch, from);
     bell_ring(&v->told);
+    tell_core(v);
     bell_ring(&v->moved);
   }
   wire__digest__free_unpacked(d, NULL);
   return c != NULL;
 }
 
-static bool ask_news(vane *v, const char *addr, bool core) {
+static bool ask_news(vane *v, const char *addr, bool core, id who) {
+  tick now = w_now(v->s.w);
   Wire__News n = WIRE__NEWS__INIT;
   n.epoch = v->epoch; n.seq = v->seq; n.fleet = v->fleet; n.n_held = RES_COUNT; n.held = v->resAt;
+  n.listage = v->listKnown ? (uint64_t)t_sub(now, v->listAt).us / 1000 + 1 : 0;
   Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_NEWS, &n), *b;
   err e = { 0 };
-  tick sent = w_now(v->s.w);
-  if (site_call(&v->s, addr, &m, t_ms(900), &b, &e)) return false;
+  if (site_call(&v->s, addr, &m, t_ms(core ? 900 : 600), &b, &e)) return false;
   bool ok = false;
   if (b->body_case == WIRE__ENVELOPE__BODY_NEWSBACK) {
     Wire__NewsBack *k = b->newsback;
     bool got = k->news && k->digest.len && install(v, &k->digest, addr);
+    bool level = k->seq <= v->seq && v->now;
     ok = core ? k->fresh : got;
-    if (core && k->fresh && k->seq <= v->seq) v->fresh = sent;
+    if (core && k->fresh && level) { v->fresh = young(v->fresh, now); v->sure = true; }
     if (core && k->epoch > v->epoch) v->epoch = k->epoch;
+    /* what a vane says counts from when it was asked, less the age that it gives; clocks are never compared */
+    machine *o = core ? NULL : site_find(&v->s, who);
+    if (o && k->age < 100000 && k->listage < 100000000) {
+      if (level && k->age) {
+        tick at = t_sub(now, t_ms((int64_t)k->age));
+        if (within(v, at, FRESH_MS)) { v->fresh = young(v->fresh, at); v->sure = true; }
+      }
+      if (level && k->sure) { o->agreed = now; o->known = MIN(k->known, 10000); }
+      if (!k->listage || k->listage > LIST_OLD_MS) o->blind = now;
+      tick listed = t_sub(now, t_ms((int64_t)k->listage));
+      if (k->listage && k->list.len && (!v->listKnown || listed.us > v->listAt.us) && !platform_heard(v, (str){ (char *)k->list.data, k->list.len }, listed))
+        say(&v->s.log, "platform", "Refused a list that %s passed on (code %d).", who.s, E_WIRE);
+    }
+    bell_ring(&v->moved);
   }
   site_done(b);
   return ok;
 }
 
-/* asks one mast after the other with the version held; a vane only when no mast has told us for long */
+/* asks one mast after the other with the version held */
 static void news_run(void *p) {
   vane *v = p;
-  int misses = 0;
   for (;;) {
     machine *k = site_some(&v->s, ROLE_MAST, v->core);
     if (k) g_strlcpy(v->core, k->addr, sizeof v->core);
     tick from = w_now(v->s.w);
-    if (k && ask_news(v, v->core, true)) {
-      misses = 0;
+    if (k && ask_news(v, v->core, true, k->self)) {
       /* an answer that came at once without news must not turn into a storm */
       if (!t_past(w_now(v->s.w), t_add(from, t_ms(50))) && !w_nap(v->s.w, t_ms(50))) return;
       continue;
     }
     v->core[0] = 0;
-    if (++misses > 3) {
-      machine *o = site_some(&v->s, ROLE_VANE, NULL);
-      char addr[48];
-      if (o) { g_strlcpy(addr, o->addr, sizeof addr); ask_news(v, addr, false); }
-    }
     if (!w_nap_about(v->s.w, t_ms(k ? 120 : 250))) return;
   }
 }
 
-/* tells another vane what this one knows; it is never said to be fresh */
+typedef struct { vane *v; id who; char addr[48]; } peer;
+
+static void peer_run(void *p) {
+  peer *q = p;
+  ask_news(q->v, q->addr, false, q->who);
+  machine *m = site_find(&q->v->s, q->who);
+  if (m) m->asked = false;
+  g_free(q);
+}
+
+/* when the core or the platform has been silent for a while, all vanes are asked: for news, for how old their own
+   confirmation is, and whether they know anything younger */
+static void peers_run(void *p) {
+  vane *v = p;
+  while (w_nap_about(v->s.w, t_ms(250))) {
+    bool told = within(v, v->fresh, 900) && within(v, v->listAt, 1300);
+    vane_may_enrol(v);
+    if (told) continue;
+    list_each(m, &v->s.machines, machine, n) {
+      if (m->role != ROLE_VANE || m->leaving || m->asked) continue;
+      m->asked = true;
+      peer *q = g_new0(peer, 1);
+      q->v = v; q->who = m->self;
+      g_strlcpy(q->addr, m->addr, sizeof q->addr);
+      task_start(&v->s.w->tasks, "peer", peer_run, q);
+    }
+  }
+}
+
+/* what is in force is told again and again, since a cast may be lost and a head is new at times */
+static void have_run(void *p) {
+  vane *v = p;
+  while (w_nap_about(v->s.w, t_ms(500))) if (v->now) tell_core(v);
+}
+
+/* tells another vane what this one knows, how long ago it was confirmed, and the platform's list if it is younger */
 static int on_news(void *ctx, Wire__Envelope *in, reply *o, err *e) {
   vane *v = ctx;
-  if (!v->now) return err_set(e, E_CORE, "nothing is known here");
-  if (in->news->fleet && in->news->fleet != v->fleet) return err_set(e, E_VIEW, "another fleet");
+  if (in->news->fleet && v->fleet && in->news->fleet != v->fleet) return err_set(e, E_VIEW, "another fleet");
+  tick now = w_now(v->s.w);
   Wire__NewsBack *b = reply_new(o, WIRE__ENVELOPE__BODY_NEWSBACK, &wire__news_back__descriptor);
   b->epoch = v->epoch; b->seq = v->seq;
-  b->news = v->seq > in->news->seq;
+  b->age = vane_is_fresh(v) ? (uint64_t)t_sub(now, v->fresh).us / 1000 + 1 : 0;
+  b->sure = v->sure;
+  b->known = (uint32_t)site_known(&v->s, ROLE_VANE);
+  b->listage = v->listKnown ? (uint64_t)t_sub(now, v->listAt).us / 1000 + 1 : 0;
+  if (b->listage && v->list->len && (!in->news->listage || in->news->listage > b->listage + 200)) {
+    b->list.len = v->list->len;
+    b->list.data = reply_hold(o, v->list->len + 1);
+    memcpy(b->list.data, v->list->str, v->list->len);
+  }
+  b->news = v->now && v->seq > in->news->seq;
   if (!b->news) return OK;
   Wire__Digest d = WIRE__DIGEST__INIT;
   Wire__Res res[RES_COUNT], *parts[RES_COUNT];
@@ -146,4 +248,6 @@
 void news_start(vane *v) {
   site_on(&v->s, WIRE__ENVELOPE__BODY_NEWS, on_news, v);
   task_start(&v->s.w->tasks, "news", news_run, v);
+  task_start(&v->s.w->tasks, "peers", peers_run, v);
+  task_start(&v->s.w->tasks, "have", have_run, v);
 }
--- a/lib/vane/platform.c
+++ b/lib/vane/platform.c
@@ -16,7 +16,7 @@
 bool engine_open(engine *e) {
   vane *v = e->v;
   tick now = w_now(v->s.w);
-  return e->listed && !e->leaving && e->known && !e->quit && e->heard.us && !t_past(now, t_add(e->heard, t_ms(DARK_MS))) && t_past(now, e->shunned) &&
+  return vane_may_enrol(v) && e->listed && !e->leaving && e->known && !e->quit && e->heard.us && !t_past(now, t_add(e->heard, t_ms(DARK_MS))) && t_past(now, e->shunned) &&
          !(v->now && config_empties(v->now, e->self, e->area));
 }
 
@@ -121,12 +121,11 @@
 
 static bool wants_poll(vane *v) { return !v->drain || v->open; }
 
-static void take_list(vane *v, const json *j) {
+static bool take_list(vane *v, const json *j, tick at, bool whole) {
   const json *l = json_get(j, "engines");
-  if (!l || l->kind != J_ARR) return;
-  tick now = w_now(v->s.w);
+  if (!l || l->kind != J_ARR) return false;
   v->listKnown = true;
-  v->listAt = now;
+  v->listAt = at;
   GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
   for (size_t i = 0; i < json_count(l); i++) {
     const json *x = json_at(l, i);
@@ -162,7 +161,7 @@
     e->listed = true;
   }
   list_each(e, &v->engines, engine, n) {
-    if (e->quit || g_hash_table_contains(seen, e->self.s)) continue;
+    if (!whole || e->quit || g_hash_table_contains(seen, e->self.s)) continue;
     say(&v->s.log, "platform", "%s is no longer listed.", e->self.s);
     e->listed = false;
     e->quit = true;
@@ -171,6 +170,15 @@
   }
   g_hash_table_destroy(seen);
   bell_ring(&v->moved);
+  return true;
+}
+
+bool platform_heard(vane *v, str text, tick at) {
+  json *j = json_read(text, NULL);
+  bool ok = j && take_list(v, j, at, false);
+  if (ok) { g_string_truncate(v->list, 0); g_string_append_len(v->list, text.p, text.n); }
+  json_free(j);
+  return ok;
 }
 
 static void list_run(void *p) {
@@ -179,9 +187,11 @@
   while (wants_poll(v)) {
     GString *b = g_string_new(NULL);
     err x = { 0 };
+    tick from = w_now(v->s.w);
     int st = call_once(v->s.w, v->s.v.platform, "GET", "/v1/engines", NULL, str_of(""), b, t_ms(1000), &x);
     json *j = st == 200 ? json_read(str_g(b), &x) : NULL;
-    if (j) take_list(v, j);
+    if (j && take_list(v, j, from, true)) g_string_assign(v->list, b->str);
+    else if (j) { json_free(j); j = NULL; err_set(&x, E_FIELD, "no list of engines"); }
     if (!j != lost) {
       lost = !j;
       if (lost) say(&v->s.log, "platform", "The list can't be had, the last one stands: %s (code %d).", x.text, x.code);
--- a/lib/vane/route.c
+++ b/lib/vane/route.c
@@ -301,6 +301,7 @@
     tick now = w_now(w);
     if (w->tasks.dead) { code = give_up(r, E_DRAIN, 1000, "this machine is stopping"); break; }
     if (r->a->gone) { code = give_up(r, E_GONE, 0, "the caller went away"); break; }
+    if (!vane_wait_enrol(v)) { v->alone++; code = give_up(r, E_ALONE, 2000, "this machine is cut off and can't know what is in force"); break; }
     bool any, fits = true;
     engine *e = resident(r, &any);
     if (e && my_turn(r)) { r->e = e; break; }
@@ -563,6 +564,13 @@
   r.resumable = json_yes(j, "resumable", false);
   json_free(j);
   if (c) { answer_err(a, 400, c, e.text); return; }
+  if (v->now && !v->drain && !vane_wait_enrol(v)) {
+    v->alone++;
+    r.run = NOT_RUN;
+    give_up(&r, E_ALONE, 2000, "this machine is cut off and can't know what is in force");
+    answer(&r);
+    return;
+  }
   if (!v->now) { head_set(&a->reply, H_RETRY, "2"); answer_err(a, 503, E_CORE, "no configuration is known here yet; not run"); return; }
   r.k = id_none(kn) ? &v->now->kinds[0] : config_kind(v->now, kn.s);
   if (!r.k) { answer_err(a, 400, E_NAME, "kind: the policy has no such kind"); return; }
@@ -648,8 +656,8 @@
   g_hash_table_iter_init(&it, v->contracts);
   while (g_hash_table_iter_next(&it, NULL, &p)) held += duty_epoch(v, ((contract *)p)->duty.s) > 0;
   machine *m = site_some(&v->s, ROLE_MAST, v->core);
-  json_f(b, "{\"id\":\"%s\",\"role\":\"vane\",\"area\":\"%s\",\"epoch\":%" PRIu64 ",\"version\":%" PRIu64 ",\"fresh\":%s,\"core\":\"%s\",\"duties\":%d,\"listMs\":%" PRId64 ",\"draining\":%s,\"open\":%d,",
-         v->s.v.self.s, v->s.v.area.s, v->epoch, v->seq, vane_is_fresh(v) ? "true" : "false", m ? m->addr : "", held,
+  json_f(b, "{\"id\":\"%s\",\"role\":\"vane\",\"area\":\"%s\",\"epoch\":%" PRIu64 ",\"version\":%" PRIu64 ",\"fresh\":%s,\"core\":\"%s\",\"enrols\":%s,\"alone\":%" PRIu64 ",\"duties\":%d,\"listMs\":%" PRId64 ",\"draining\":%s,\"open\":%d,",
+         v->s.v.self.s, v->s.v.area.s, v->epoch, v->seq, vane_is_fresh(v) ? "true" : "false", m ? m->addr : "", vane_may_enrol(v) ? "true" : "false", v->alone, held,
          v->listKnown ? t_sub(w_now(v->s.w), v->listAt).us / 1000 : -1, v->drain ? "true" : "false", v->open);
   json_f(b, "\"requests\":%" PRIu64 ",\"shots\":%" PRIu64 ",\"seconds\":%" PRIu64 ",\"loads\":%" PRIu64 ",\"loadFails\":%" PRIu64 ",\"unloads\":%" PRIu64 ",\"wasted\":%" PRIu64 ",\"tickets\":%" PRIu64 ",\"ticketsLate\":%" PRIu64 ",\"paceGiven\":%.1f,\"paceFull\":%.1f,",
          v->requests, v->shots, v->seconds, v->loads, v->loadFails, v->unloads, v->wasted, v->tickets, v->ticketsLate, v->paceGiven, v->paceFull);
@@ -664,8 +672,8 @@
 
 static void metrics(vane *v, GString *b) {
   json_f(b, "asterfall_version %" PRIu64 "\nasterfall_fresh %d\nasterfall_requests %" PRIu64 "\nasterfall_shots %" PRIu64 "\nasterfall_second_tries %" PRIu64 "\nasterfall_loads %" PRIu64
-         "\nasterfall_loads_failed %" PRIu64 "\nasterfall_loads_wasted %" PRIu64 "\nasterfall_unloads %" PRIu64 "\nasterfall_unloads_of_busy %" PRIu64 "\nasterfall_tickets %" PRIu64 "\nasterfall_tasks %zu\nasterfall_news %" PRIu64 "\nasterfall_news_bytes %" PRIu64 "\n", v->seq, vane_is_fresh(v), v->requests, v->shots, v->seconds,
-         v->loads, v->loadFails, v->wasted, v->unloads, v->drained, v->tickets, v->s.w->tasks.count, v->newsCount, v->newsBytes);
+         "\nasterfall_loads_failed %" PRIu64 "\nasterfall_loads_wasted %" PRIu64 "\nasterfall_unloads %" PRIu64 "\nasterfall_unloads_of_busy %" PRIu64 "\nasterfall_tickets %" PRIu64 "\nasterfall_alone %" PRIu64 "\nasterfall_tasks %zu\nasterfall_news %" PRIu64 "\nasterfall_news_bytes %" PRIu64 "\n", v->seq, vane_is_fresh(v), v->requests, v->shots, v->seconds,
+         v->loads, v->loadFails, v->wasted, v->unloads, v->drained, v->tickets, v->alone, v->s.w->tasks.count, v->newsCount, v->newsBytes);
   for (int i = 0; v->now && i < v->now->kindCount; i++)
     json_f(b, "asterfall_waiting{kind=\"%s\"} %d\nasterfall_done{kind=\"%s\"} %" PRIu64 "\nasterfall_refused{kind=\"%s\"} %" PRIu64 "\n", v->now->kinds[i].self.s, v->lanes[i].waiting, v->now->kinds[i].self.s, v->lanes[i].done, v->now->kinds[i].self.s, v->lanes[i].refused);
 }
--- a/lib/vane/vane.c
+++ b/lib/vane/vane.c
@@ -4,6 +4,7 @@
   vane *v = g_new0(vane, 1);
   site_init(&v->s, w, x);
   for (int i = 0; i < RES_COUNT; i++) v->res[i] = g_string_new("{}");
+  v->list = g_string_new(NULL);
   v->grants = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   v->contracts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
   v->backs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -41,6 +42,7 @@
 void vane_free(vane *v) {
   list_each(e, &v->engines, engine, n) { e->refs = 1; engine_drop(e); }
   for (int i = 0; i < RES_COUNT; i++) g_string_free(v->res[i], TRUE);
+  g_string_free(v->list, TRUE);
   g_hash_table_destroy(v->grants); g_hash_table_destroy(v->contracts); g_hash_table_destroy(v->backs);
   config_free(v->now);
   history_free(&v->h);
--- a/lib/vane/vane.h
+++ b/lib/vane/vane.h
@@ -5,7 +5,8 @@
 #include "policy.h"
 #include "site.h"
 
-enum { FRESH_MS = 2000 };
+/** How long a confirmation of what is in force, or a list of engines, is good for. */
+enum { FRESH_MS = 2000, LIST_OLD_MS = 2000 };
 enum hold_state { HOLD_UP, HOLD_LOADING, HOLD_UNLOADING };
 
 /** A model or adapter on an engine, as its last report says. */
@@ -57,7 +58,9 @@
   config *now;
   uint64_t epoch, seq, fleet, resAt[RES_COUNT], newsBytes, newsCount;
   GString *res[RES_COUNT];
-  tick fresh;
+  tick fresh, lost;
+  bool sure;
+  GString *list;
   char core[48];
   GHashTable *grants;
   bell told, moved, over;
@@ -70,7 +73,7 @@
   double paceGiven, paceFull;
   lane lanes[KINDS_MOST];
   double retries;
-  uint64_t shots, seconds, requests, oddRuns, wasted, loads, loadFails, unloads, drained;
+  uint64_t shots, seconds, requests, oddRuns, wasted, loads, loadFails, unloads, drained, alone;
   bool drain, listKnown;
   tick listAt;
   int open;
@@ -85,11 +88,17 @@
 /* news.c */
 void news_start(vane *v);
 bool vane_is_fresh(vane *v);
+/** True when this vane may take new work: what it holds was confirmed lately, or most vanes know nothing younger. */
+bool vane_may_enrol(vane *v);
+/** Waits a moment for that, unless it has been missing for long. */
+bool vane_wait_enrol(vane *v);
 /** Who holds a duty by the last digest; false when nobody. */
 bool vane_grant(vane *v, const char *duty, id *holder, uint64_t *epoch);
 
 /* platform.c */
 void platform_start(vane *v);
+/** Takes a list that another vane passes on; it adds engines and marks, and never takes one away. False when it is none. */
+bool platform_heard(vane *v, str text, tick at);
 engine *engine_find(vane *v, id who);
 holding *engine_holding(engine *e, id model, id adapter);
 /** True when an engine may get new work: listed, not leaving, heard, and not in an emptied place. */
--- a/tests/stories.c
+++ b/tests/stories.c
@@ -378,7 +378,7 @@
   host *h = f->vane[0];
   for (int i = 0; i < 3; i++) sim_part(f->s, h->self.s, f->mast[i]->self.s, true);
   sim_run(f->s, t_ms(3000));
-  if (vane_is_fresh(h->va)) breach(f, "a vane that is cut off calls itself fresh");
+  if (!vane_may_enrol(h->va)) breach(f, "a vane that hears the others is held to be alone");
   if (!fleet_put(f, "evacuation", "{\"areas\":[]}")) return false;
   sim_run(f->s, t_ms(4000));
   /* the others tell it what is new, though never that it is fresh */
@@ -427,7 +427,9 @@
   for (int i = 0; i < f->vanes; i++) for (int k = 0; k < 3; k++) sim_part(f->s, f->vane[i]->self.s, f->mast[k]->self.s, true);
   tick from = f->s->now;
   sim_run(f->s, t_ms(10000));
-  if (!fleet_put(f, "evacuation", "{\"areas\":[{\"area\":\"south\"}]}")) breach(f, "the core takes no writes by itself");
+  op_call *c = fleet_call(f, f->mast[0], "PUT", "/v1/evacuation", "{\"areas\":[{\"area\":\"south\"}]}", NULL, "south", t_ms(9000));
+  if (c->status != 504) breach(f, "a write that no vane can hear of got %d", c->status);
+  call_free(c);
   for (int i = 0; i < f->vanes; i++) if (vane_is_fresh(f->vane[i]->va)) breach(f, "%s calls itself fresh", f->vane[i]->self.s);
   for (int i = 0; i < f->engines; i++)
     for (guint k = 0; k < f->engine[i]->g->orders->len; k++)
@@ -437,7 +439,11 @@
   if (done < n / 4) breach(f, "residents did not go on serving: %u of %u", done, n);
   sim_mend(f->s);
   tick back = f->s->now;
-  sim_run(f->s, t_ms(12000));
+  sim_run(f->s, t_ms(3000));
+  c = fleet_call(f, f->mast[0], "PUT", "/v1/evacuation", "{\"areas\":[{\"area\":\"south\"}]}", NULL, "south", t_ms(9000));
+  if (c->status != 200) breach(f, "the same write got %d after all was mended", c->status);
+  call_free(c);
+  sim_run(f->s, t_ms(9000));
   back_within(f, back, 12000);
   fleet_quiet(f);
   return true;
@@ -789,7 +795,7 @@
     size_t at = sim_draw(s, b->len);
     switch (sim_draw(s, 4)) {
       case 0: b->str[at] = (char)sim_draw(s, 256); break;
-      case 1: g_string_erase(b, at, MIN((gssize)(b->len - at), (gssize)(1 + sim_draw(s, 9)))); break;
+      case 1: { size_t k = 1 + sim_draw(s, 9); g_string_erase(b, at, MIN(b->len - at, k)); break; }
       case 2: g_string_insert_len(b, at, b->str + sim_draw(s, b->len), 1); break;
       case 3: b->str[at] ^= (char)(1 << sim_draw(s, 8)); break;
     }
@@ -836,6 +842,8 @@
       d->file[file][at] = d->sure[file][at] = (char)sim_draw(s, 256);
     }
     host_start(h);
+    /* a machine whose disk was bad is out before it is back; two at once are a loss that is not promised */
+    sim_run(f->s, t_ms(2500));
     if (!wait_chain(f, 3, 20000)) return false;
   }
   acked_stand(f);
@@ -1323,6 +1331,9 @@
   sim_run(f->s, t_ms(3000));
   for (int i = 0; i < 3; i++) sim_part(f->s, f->vane[0]->self.s, f->mast[i]->self.s, true);
   sim_run(f->s, t_ms(5000));
+  doctor_says(f, 0, "a vane cut off from the core alone, which others confirm");
+  for (int i = 1; i < f->vanes; i++) sim_part(f->s, f->vane[0]->self.s, f->vane[i]->self.s, true);
+  sim_run(f->s, t_ms(5000));
   doctor_says(f, D_STALE, "a vane cut off");
   sim_mend(f->s);
   sim_run(f->s, t_ms(6000));
