--- a/lib/site/real.c
+++ b/lib/site/real.c
@@ -329,7 +329,7 @@
       if (c) { c->broken = true; c->impl = NULL; lws_set_opaque_user_data(wsi, NULL); bell_ring(&c->news); }
       return 0;
     case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER: {
-      if (!c) return -1;
+      if (!c || t_past(w_now(c->w), c->by)) return -1;
       unsigned char **p = in, *end = *p + len;
       char name[40], num[24];
       c->sent = true;
@@ -344,7 +344,7 @@
       return 0;
     }
     case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE: {
-      if (!c) return -1;
+      if (!c || t_past(w_now(c->w), c->by)) return -1;
       if (!c->body->len) return 0;
       unsigned char buf[LWS_PRE + PIECE];
       size_t n = c->body->len < PIECE ? c->body->len : PIECE;
--- a/lib/site/world.c
+++ b/lib/site/world.c
@@ -63,6 +63,10 @@
 }
 
 call *call_open(world *w, const char *addr, const char *verb, const char *path, const head *h, str body, size_t most) {
+  return call_open_by(w, addr, verb, path, h, body, most, t_never());
+}
+
+call *call_open_by(world *w, const char *addr, const char *verb, const char *path, const head *h, str body, size_t most, tick by) {
   call *c = g_new0(call, 1);
   c->w = w;
   c->addr = g_strdup(addr); c->verb = g_strdup(verb); c->path = g_strdup(path);
@@ -70,6 +74,7 @@
   c->body = g_string_new_len(body.p ? body.p : "", body.n);
   c->got = g_string_new(NULL);
   c->most = most;
+  c->by = by;
   bell_init(&c->news);
   w->call_start(c);
   return c;
@@ -116,7 +121,12 @@
 
 int call_once(world *w, const char *addr, const char *verb, const char *path, const head *h, str body, GString *to,
               tick span, err *e) {
-  call *c = call_open(w, addr, verb, path, h, body, 8 << 20);
+  return call_once_by(w, addr, verb, path, h, body, to, span, t_never(), e);
+}
+
+int call_once_by(world *w, const char *addr, const char *verb, const char *path, const head *h, str body, GString *to,
+                 tick span, tick by, err *e) {
+  call *c = call_open_by(w, addr, verb, path, h, body, 8 << 20, by);
   int r = call_whole(c, to, t_add(w_now(w), span)), status = c->status;
   if (r) {
     err_set(e, r, "%s %s at %s: %s", verb, path, addr, r == E_TIME ? "no answer in time" : "channel lost");
--- a/lib/site/world.h
+++ b/lib/site/world.h
@@ -42,6 +42,7 @@
   GString *got;
   bool ended, broken;
   size_t most;
+  tick by;
   bell news;
   void *impl;
 } call;
@@ -89,6 +90,8 @@
 
 /** Sends a request; the answer is waited for with call_wait. */
 call *call_open(world *w, const char *addr, const char *verb, const char *path, const head *h, str body, size_t most);
+/** The same, but nothing is sent after an instant: a process that slept in between must not act on what it knew before. */
+call *call_open_by(world *w, const char *addr, const char *verb, const char *path, const head *h, str body, size_t most, tick by);
 /** Waits for the status line; gives OK, E_TIME, E_DEAD, or E_LOST (E_SENT when bytes may have reached the other side). */
 int call_wait(call *c, tick till);
 /** Gives what has come since, waiting for some: OK with bytes, E_GONE at a clean end, E_BROKE, E_TIME, E_DEAD. */
@@ -100,4 +103,7 @@
 /** Sends a request and reads the whole answer in one go; gives the HTTP status or 0 with e set. */
 int call_once(world *w, const char *addr, const char *verb, const char *path, const head *h, str body, GString *to,
               tick span, err *e);
+/** The same, with nothing sent after an instant. */
+int call_once_by(world *w, const char *addr, const char *verb, const char *path, const head *h, str body, GString *to,
+                 tick span, tick by, err *e);
 #endif
--- a/lib/vane/place.c
+++ b/lib/vane/place.c
@@ -43,7 +43,7 @@
 }
 
 /* sends one order; the contract is looked at in the same breath. 202 means taken, 0 with e set that nobody knows */
-static int order(engine *e, const char *what, id model_, id adapter_, uint64_t megs, unsigned slots, err *x) {
+static int order(engine *e, const char *what, id model_, id adapter_, uint64_t megs, unsigned slots, tick by, err *x) {
   vane *v = e->v;
   uint64_t epoch = epoch_of(e);
   if (!epoch) { err_set(x, E_HOLDER, "no contract for %s", e->self.s); return -1; }
@@ -58,7 +58,10 @@
   head_set(&h, H_EPOCH, ep);
   head_set(&h, H_HOLDER, v->s.v.self.s);
   history_add(&v->h, (entry){ EV_ORDERED, { 0 }, e->self, model_, adapter_, what[0] == 'l' });
-  int st = call_once(v->s.w, e->addr, "POST", path, &h, str_g(b), got, t_ms(ORDER_MS), x);
+  char duty[64];
+  duty_engine(duty, sizeof duty, e->self);
+  contract *c = g_hash_table_lookup(v->contracts, duty);
+  int st = call_once_by(v->s.w, e->addr, "POST", path, &h, str_g(b), got, t_ms(ORDER_MS), c->till.us < by.us ? c->till : by, x);
   if (st && st != 202) err_set(x, E_ORDER, "%s answered %d to %s: %.100s", e->self.s, st, what, got->str);
   head_free(&h);
   g_string_free(b, TRUE);
@@ -100,7 +103,7 @@
   bool used = h->used, busy = h->running > 0;
   if (h->state != HOLD_UNLOADING) {
     h->state = HOLD_UNLOADING;
-    int st = order(e, "unload", model_, adapter_, h->megs, h->slots, x);
+    int st = order(e, "unload", model_, adapter_, h->megs, h->slots, t_never(), x);
     if (st == -1) return E_HOLDER;
     if (st && st != 202 && st != 404) return x->code;
     v->unloads++;
@@ -273,7 +276,13 @@
     e->owedMegs += megs; e->owedSlots += slots;
     began = w_now(v->s.w);
     v->loads++;
-    int st = order(e, "load", model_, adapter_, megs, slots, x);
+    int st = order(e, "load", model_, adapter_, megs, slots, last, x);
+    if (!st && x->code == E_LOST) {
+      /* nothing was sent, so nothing is owed */
+      repay(e, boot, megs, slots);
+      *wait = 1000;
+      return err_set(x, E_PACE, "%s could not be reached within the slot", e->self.s);
+    }
     if (st && st != 202) {
       repay(e, boot, megs, slots);
       if (st == -1) return E_HOLDER;
--- a/lib/vane/route.c
+++ b/lib/vane/route.c
@@ -3,7 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-enum { IDLE_MS = 15000, TRIES = 3, ENGINES = 2, COPY_MS = 1500, NAME_MOST = 256 };
+enum { IDLE_MS = 15000, TRIES = 3, ENGINES = 2, COPY_MS = 1500, SEND_MS = 600, NAME_MOST = 256 };
 
 /** A request on its way through the rules. */
 typedef struct req {
@@ -379,7 +379,7 @@
   e->mine++;
   v->shots++;
   tick from = w_now(w);
-  call *c = call_open(w, e->addr, "POST", "/v1/run", &h, str_g(r->a->body), 1 << 20);
+  call *c = call_open_by(w, e->addr, "POST", "/v1/run", &h, str_g(r->a->body), 1 << 20, t_add(from, t_ms(SEND_MS)));
   head_free(&h);
   GString *got = g_string_new(NULL), *tail = g_string_new(NULL);
   int x;
--- a/tests/check.c
+++ b/tests/check.c
@@ -4,7 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-enum { MARK_LOW = 420, MARK_SPAN = 80, FORCE_MS = 2000, PROBE_MS = 350, LEAVE_MS = 3000, EMPTY_MS = 5000, TRADE_MS = 2900, BACK_MS = 12000 };
+enum { MARK_LOW = 420, MARK_SPAN = 80, FORCE_MS = 2000, PROBE_MS = 350, LEAVE_MS = 3000, EMPTY_MS = 5000, TRADE_MS = 2900, ANSWER_MS = 200, BACK_MS = 12000 };
 
 void breach(fleet *f, const char *form, ...) {
   va_list a;
@@ -166,16 +166,19 @@
   tick *when = g_new0(tick, f->vanes);
   for (guint i = 0; i < f->probes->len; i++) {
     probe *p = &g_array_index(f->probes, probe, i);
-    note *due = mark_due(f, p->sent), *is = p->code == E_RULE ? mark_of(f, p->status) : NULL;
+    /* the policy that an answer shows is that of when it was given, a moment before it came */
+    tick given = t_sub(p->at, t_ms(ANSWER_MS));
+    if (given.us < p->sent.us) given = p->sent;
+    note *due = mark_due(f, given), *is = p->code == E_RULE ? mark_of(f, p->status) : NULL;
     /* a vane that admits nothing says so, and cannot be wrong */
     if (p->status == 503 || p->status == 429 || (p->code != E_RULE && !due)) continue;
     if (p->code != E_RULE) {
-      if (f->marks <= MARK_SPAN) breach(f, "R4 %s takes a request %.2f s after a rule that refuses it was acknowledged", f->vane[p->vane]->self.s, (double)t_sub(p->sent, due->at).us / 1e6);
+      if (f->marks <= MARK_SPAN) breach(f, "R4 %s takes a request %.2f s after a rule that refuses it was acknowledged", f->vane[p->vane]->self.s, (double)t_sub(given, due->at).us / 1e6);
       continue;
     }
     if (!is || f->marks > MARK_SPAN) continue;
     if (due && is->status == 200 && is->version < due->version)
-      breach(f, "R4 %s answers by mark %d, write %" PRIu64 ", %.2f s after write %" PRIu64 " was acknowledged", f->vane[p->vane]->self.s, p->status, is->version, (double)t_sub(p->sent, due->at).us / 1e6, due->version);
+      breach(f, "R4 %s answers by mark %d, write %" PRIu64 ", %.2f s after write %" PRIu64 " was acknowledged", f->vane[p->vane]->self.s, p->status, is->version, (double)t_sub(given, due->at).us / 1e6, due->version);
     if (is->status != 200) continue;
     if (is->version < seen[p->vane] && p->sent.us > when[p->vane].us) breach(f, "R4 %s slipped back from write %" PRIu64 " to %" PRIu64, f->vane[p->vane]->self.s, seen[p->vane], is->version);
     if (is->version > seen[p->vane]) { seen[p->vane] = is->version; when[p->vane] = p->at; }
@@ -349,7 +352,7 @@
     if (most < 1) most = 1;
     for (guint i = 0; i < loads->len; i++) {
       while (g_array_index(loads, g_order, i).at.us - g_array_index(loads, g_order, from).at.us >= span) from++;
-      if (i - from + 1 > most) { breach(f, "R10 %u loads began within %d s; the store allows %u", i - from + 1, w ? 10 : 1, most); break; }
+      if (i - from + 1 > most) { for (guint q = from; q <= i && g_getenv("SIM_NOTES"); q++) { g_order *o = &g_array_index(loads, g_order, q); fprintf(stderr, "  load at %.3f of %s by %s epoch %" PRIu64 "\n", (double)o->at.us / 1e6, o->model.s, o->holder.s, o->epoch); } breach(f, "R10 %u loads began within %d s; the store allows %u", i - from + 1, w ? 10 : 1, most); break; }
     }
   }
   g_array_free(all, TRUE);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -190,7 +190,8 @@
   conn *c = e->c;
   sim *s = c->s;
   if (c->c && c->a->alive && c->a->life == c->lifeA) {
-    if (!c->b->alive) {
+    if (t_past(s->now, c->c->by)) { c->c->broken = true; bell_ring(&c->c->news); }
+    else if (!c->b->alive) {
       if (!c->b->dark) { c->c->broken = true; bell_ring(&c->c->news); }
     } else if (!is_cut(s, c->a, c->b) && !is_cut(s, c->b, c->a)) {
       c->lifeB = c->b->life;
--- a/tests/stories.c
+++ b/tests/stories.c
@@ -1,5 +1,5 @@
 #include "doctor.h"
-#include "fleet.h"
+#include "stories.h"
 #include "trial.h"
 #include <CUnit/Basic.h>
 #include <stdio.h>
@@ -50,17 +50,17 @@
   return h && fleet_head(a->f) && h->m->c.now.links == a->links;
 }
 
-static bool wait_chain(fleet *f, int links, int64_t ms) {
+bool wait_chain(fleet *f, int links, int64_t ms) {
   aim a = { f, links, 0 };
   if (sim_until(f->s, chain_is, &a, t_ms(ms))) return true;
   breach(f, "no acting chain of %d after %" PRId64 " ms", links, ms);
   return false;
 }
 
-static char *area_text(int share10) { return g_strdup_printf("{\"areas\":[{\"area\":\"north\",\"share\":0.%d}]}", share10); }
+char *area_text(int share10) { return g_strdup_printf("{\"areas\":[{\"area\":\"north\",\"share\":0.%d}]}", share10); }
 
 /* every acknowledged write is there: the latest of each resource, or a younger one */
-static void acked_stand(fleet *f) {
+void acked_stand(fleet *f) {
   for (int r = 0; r < RES_COUNT; r++) {
     uint64_t due = 0;
     for (guint i = 0; i < f->acks->len; i++) if (g_array_index(f->acks, ack, i).which == r) due = MAX(due, g_array_index(f->acks, ack, i).version);
@@ -145,7 +145,7 @@
   if (t_sub(b, from).us > ms * 1000) breach(f, "R12 the first load came %.1f s after the loss", (double)t_sub(b, from).us / 1e6);
 }
 
-static void go(fleet *f, double perS) {
+void go(fleet *f, double perS) {
   sonde *c = f->callers->c;
   c->p.perS = perS;
   c->stop = false;
@@ -243,7 +243,7 @@
   return true;
 }
 
-static void area_dark(fleet *f, const char *area) {
+void area_dark(fleet *f, const char *area) {
   list_each(h, &f->s->hosts, host, n) if (h->what <= H_GAUGE && !strcmp(h->area.s, area)) host_power(h);
 }
 
@@ -1180,7 +1180,7 @@
 
 static const char *const fault_name[] = { "kill", "power off", "freeze", "cut off", "cut one way to", "lose messages", "delay messages", "stall the disk of", "move the wall clock of", "write at", "fail loads of" };
 
-static void heal_all(fleet *f) {
+void heal_all(fleet *f) {
   list_each(k, &f->s->hosts, host, n) { if (!k->alive) host_start(k); if (k->frozen) host_wake(k); }
   sim_mend(f->s);
   f->s->loss = 0;
@@ -1471,8 +1471,18 @@
   return shown == 12;
 }
 
-typedef struct { const char *name; bool (*run)(fleet *f); int vanes, engines, share; } story;
-static const story all[] = {
+const char *const area_names[3] = { "north", "mid", "south" };
+
+void marks_for(fleet *f, int64_t ms, int64_t each) {
+  tick till = t_add(f->s->now, t_ms(ms));
+  while (f->s->now.us < till.us) {
+    fleet_mark(f);
+    tick left = t_sub(till, f->s->now);
+    sim_run(f->s, left.us < each * 1000 ? left : t_ms(each));
+  }
+}
+
+static const story main_stories[] = {
   { "serves", serves, 5, 6, 100 }, { "checkers_can_fail", checkers_can_fail, 4, 5, 20 }, { "masts_die_in_turn", masts_die_in_turn, 3, 3, 100 },
   { "power_goes_after_an_answer", power_goes_after_an_answer, 2, 2, 200 }, { "a_disk_machine_is_lost_and_replaced", a_disk_machine_is_lost_and_replaced, 3, 2, 200 },
   { "the_same_machine_comes_back_empty", the_same_machine_comes_back_empty, 2, 2, 200 }, { "an_area_goes_dark", an_area_goes_dark, 6, 6, 100 },
@@ -1488,12 +1498,14 @@
   { "the_doctor_comes", the_doctor_comes, 5, 4, 50 }, { "a_copy_in_memory_goes_bad", a_copy_in_memory_goes_bad, 2, 2, 50 }, { "bad_settings_are_refused", bad_settings_are_refused, 1, 1, 17 },
   { "expressions_are_policies", expressions_are_policies, 4, 4, 50 }, { "two_wire_versions_side_by_side", two_wire_versions_side_by_side, 4, 4, 100 }, { "readers_meet_spoilt_bytes", readers_meet_spoilt_bytes, 2, 2, 50 }, { "configurations_grow_large", configurations_grow_large, 3, 2, 34 }, { "callers_read_slowly", callers_read_slowly, 3, 3, 34 },
   { "a_run_is_lost_and_the_next_is_refused", a_run_is_lost_and_the_next_is_refused, 3, 2, 100 }, { "the_core_is_cut_off_from_the_vanes", the_core_is_cut_off_from_the_vanes, 5, 6, 100 },
-  { "heads_and_tails_freeze_and_wake", heads_and_tails_freeze_and_wake, 3, 3, 100 }, { "a_hot_model_gets_copies", a_hot_model_gets_copies, 4, 5, 50 }, { "the_paper_is_met", the_paper_is_met, 1, 1, 50 }, { "a_blank_machine_hears_of_a_fleet", a_blank_machine_hears_of_a_fleet, 2, 2, 100 }, { "anything_happens", anything_happens, 5, 6, 300 } };
+  { "heads_and_tails_freeze_and_wake", heads_and_tails_freeze_and_wake, 3, 3, 100 }, { "a_hot_model_gets_copies", a_hot_model_gets_copies, 4, 5, 50 }, { "the_paper_is_met", the_paper_is_met, 1, 1, 50 }, { "a_blank_machine_hears_of_a_fleet", a_blank_machine_hears_of_a_fleet, 2, 2, 100 }, { "anything_happens", anything_happens, 5, 6, 300 }, { NULL, NULL, 0, 0, 0 } };
+static const story *const lists[] = { main_stories, cut_stories };
 
 /* the tests run in the order in which they were added */
-static size_t turn, chosen[G_N_ELEMENTS(all)];
+static size_t turn;
+static const story *chosen[200];
 static void run_one(void) {
-  const story *t = &all[chosen[turn++]];
+  const story *t = chosen[turn++];
   /* any story at another size: VANES=8 ENGINES=9 are those of lanka, 7 and 9 of selam */
   const char *v = getenv("VANES"), *e = getenv("ENGINES");
   over(t->name, t->share, t->run, v ? atoi(v) : t->vanes, e ? atoi(e) : t->engines);
@@ -1504,14 +1516,15 @@
   if (getenv("STEPS")) mask = (uint32_t)strtoul(getenv("STEPS"), NULL, 16);
   if (argc > 2) only = strtoull(argv[2], NULL, 10);
   if (argc > 1 && !strcmp(argv[1], "--list")) {
-    for (size_t i = 0; i < G_N_ELEMENTS(all); i++) puts(all[i].name);
+    for (size_t k = 0; k < G_N_ELEMENTS(lists); k++) for (const story *t = lists[k]; t->name; t++) puts(t->name);
     return 0;
   }
   if (CU_initialize_registry() != CUE_SUCCESS) return 1;
   CU_pSuite s = CU_add_suite("stories", NULL, NULL);
   size_t n = 0;
-  for (size_t i = 0; i < G_N_ELEMENTS(all); i++)
-    if (argc < 2 || !strcmp(argv[1], all[i].name)) { chosen[n++] = i; CU_add_test(s, all[i].name, run_one); }
+  for (size_t k = 0; k < G_N_ELEMENTS(lists); k++)
+    for (const story *t = lists[k]; t->name && n < G_N_ELEMENTS(chosen); t++)
+      if (argc < 2 || !strcmp(argv[1], t->name)) { chosen[n++] = t; CU_add_test(s, t->name, run_one); }
   CU_basic_set_mode(CU_BRM_VERBOSE);
   CU_basic_run_tests();
   int bad = CU_get_number_of_failures();
--- /dev/null
+++ b/tests/stories.h
@@ -0,0 +1,26 @@
+#ifndef TESTS_STORIES_H
+#define TESTS_STORIES_H
+#include "fleet.h"
+
+/** A story, how large its fleet is, and the share of the seeds (in hundredths) that it is run with. */
+typedef struct story { const char *name; bool (*run)(fleet *f); int vanes, engines, share; } story;
+/** The stories by subject; each list ends with an empty name. */
+extern const story cut_stories[], loss_stories[];
+
+/* ways to say what is given */
+/** Waits for an acting chain of so many links; a breach when there is none. */
+bool wait_chain(fleet *f, int links, int64_t ms);
+/** An evacuation of so many tenths of the area north. */
+char *area_text(int share10);
+/** Every acknowledged write is there: the latest of each resource, or a younger one. */
+void acked_stand(fleet *f);
+/** Starts callers at a rate and goes on. */
+void go(fleet *f, double perS);
+/** Takes the power from every machine of an area. */
+void area_dark(fleet *f, const char *area);
+/** Starts what is dead, wakes what is frozen, mends every link. */
+void heal_all(fleet *f);
+/** Writes marks for a span, one each so many ms. */
+void marks_for(fleet *f, int64_t ms, int64_t each);
+extern const char *const area_names[3];
+#endif
