A grant that is being written ends the old contract; no renewal slips in between

Excluded: late replies (the renewal was sent after the holder woke). The head notes what it is giving before it writes.

--- a/lib/mast/mast.c
+++ b/lib/mast/mast.c
@@ -60,6 +60,9 @@
     a->ok = true;
     a->epoch = n->epoch;
     *renewed(x->m, h->duty) = now;
+    uint64_t *to = g_new(uint64_t, 1);
+    *to = n->epoch;
+    g_hash_table_replace(x->m->giving, g_strdup(h->duty), to);
   }
   if (o.n_grants) {
     size_t n = wire__op__get_packed_size(&o);
@@ -91,9 +94,10 @@
   int young = 0;
   for (size_t i = 0; i < in->holds->n_holds; i++) {
     Wire__Hold *h = in->holds->holds[i];
-    /* a grant to another that is on its way through the chain ends this one: both states must name the asker */
+    /* a grant to another that is on its way, here or through the chain, ends this one: all must name the asker */
+    uint64_t *to = g_hash_table_lookup(m->giving, h->duty);
     const grant *g = state_grant(&c->held, h->duty), *next = state_grant(core_ordered(c), h->duty);
-    bool same = g && next && g->epoch == next->epoch && id_eq(g->holder, x.who) && g->nonce == x.nonce;
+    bool same = g && next && g->epoch == next->epoch && (!to || *to <= g->epoch) && id_eq(g->holder, x.who) && g->nonce == x.nonce;
     if (!same && next && id_eq(next->holder, x.who) && next->nonce == x.nonce) continue;
     if (same) {
       Wire__HoldGot *a = got_add(&x, h->duty);
@@ -427,6 +431,7 @@
   site_on(&m->s, WIRE__ENVELOPE__BODY_NEWS, on_news, m);
   site_on(&m->s, WIRE__ENVELOPE__BODY_HAVE, on_have, m);
   m->have = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  m->giving = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   bell_init(&m->had);
   w->serve = serve;
   w->serve_ctx = m;
@@ -438,6 +443,7 @@
 void mast_free(mast *m) {
   core_free(&m->c);
   g_hash_table_destroy(m->have);
+  g_hash_table_destroy(m->giving);
   site_free(&m->s);
   g_free(m);
 }
