--- a/bin/synop.c
+++ b/bin/synop.c
@@ -7,14 +7,15 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-/* exit codes: 0 done, 1 refused or a fault found, 2 bad command line, 3 lost race, 4 outcome not known, 5 no answer */
-enum { X_OK, X_NO, X_USE, X_RACE, X_UNSURE, X_MUTE };
+/* exit codes: 0 done, 1 refused or a fault found, 2 bad command line, 3 lost race, 4 outcome not known, 5 no answer, 6 not in force everywhere in time */
+enum { X_OK, X_NO, X_USE, X_RACE, X_UNSURE, X_MUTE, X_WAIT };
 
-typedef struct { char *at, *file, *key, *match; bool json; char *words[8]; int n; int code; world *w; t_plan plan; t_knobs knobs; int seeds; char *policies; } use;
+typedef struct { char *at, *file, *key, *match; bool json; int wait; char *words[8]; int n; int code; world *w; t_plan plan; t_knobs knobs; int seeds; char *policies; } use;
 
 static const struct argp_option opts[] = {
   { "at", 'a', "IP:PORT,...", 0, "masts (or vanes) to ask, tried in turn; or SYNOP_AT", 0 }, { "file", 'f', "FILE", 0, "the value to send; - reads from the input", 0 },
   { "if-version", 'm', "N", 0, "write only over this version", 0 }, { "key", 'k', "TEXT", 0, "idempotency key; the same key is applied once", 0 },
+  { "wait", 'W', "S", OPTION_ARG_OPTIONAL, "after a write: return when every live node has it in force, or name those that have not after S seconds (10)", 0 },
   { "json", 'j', NULL, 0, "print what came, as it came", 0 },
   { 0, 0, 0, 0, "For trial:", 1 }, { "seeds", 's', "N", 0, "traces to draw (11)", 1 }, { "requests", 'n', "N", 0, "requests in each (4000)", 1 }, { "things", 't', "N", 0, "models to ask for (60)", 1 },
   { "room", 'r', "SHARE", 0, "room, as a share of all models (0.3)", 1 }, { "zipf", 'z', "X", 0, "steepness of demand (0.9)", 1 }, { "rate", 'q', "N", 0, "requests a second (1)", 1 }, { "bursts", 'b', "SHARE", 0, "how often one thing is asked for in a row (0.01)", 1 },
@@ -32,7 +33,7 @@
   "  record -f FILE             writes what the vanes routed lately as a trace (at are vanes and a mast)\n"
   "  trial [table]              replays a trace (-f) or drawn ones under several policies; needs no fleet\n"
   "  doctor                     looks for common faults; ends with 1 when it finds one\n"
-  "\nEnds with 0 done, 1 refused or fault found, 2 bad use, 3 lost race, 4 outcome not known, 5 no answer.\n";
+  "\nEnds with 0 done, 1 refused or fault found, 2 bad use, 3 lost race, 4 outcome not known, 5 no answer,\n6 written, but not in force at every live node in time (--wait).\n";
 
 static error_t parse(int key, char *arg, struct argp_state *st) {
   use *u = st->input;
@@ -41,6 +42,10 @@
     case 'f': u->file = arg; return 0;
     case 'm': u->match = arg; return 0;
     case 'k': u->key = arg; return 0;
+    case 'W':
+      u->wait = arg ? atoi(arg) : 10;
+      if (u->wait < 1 || u->wait > 3600) argp_error(st, "--wait takes 1 to 3600 seconds");
+      return 0;
     case 'j': u->json = true; return 0;
     case 's': u->seeds = atoi(arg); return 0;
     case 'n': u->plan.asks = atoi(arg); return 0;
@@ -106,6 +111,36 @@
   return x;
 }
 
+static json *page(use *u, const char *at, const char *path);
+static json *any_page(use *u, const char *path);
+
+/* asks every node for the version that it has in force, until all that live have a write; the others are named */
+static int wait_all(use *u, uint64_t version) {
+  tick till = t_add(w_now(u->w), t_ms((int64_t)u->wait * 1000));
+  for (;;) {
+    GString *late = g_string_new(NULL), *gone = g_string_new(NULL);
+    json *n = any_page(u, "/v1/nodes");
+    int have = 0;
+    for (size_t i = 0; i < json_count(n); i++) {
+      const json *k = json_at(n, i);
+      const char *name = json_text(k, "id", "");
+      if (!strcmp(json_text(k, "standing", ""), "gone")) { json_f(gone, " %s", name); continue; }
+      json *s = page(u, json_text(k, "addr", ""), "/v1/status");
+      if (s && json_num(s, "version", 0) >= (double)version) have++;
+      else json_f(late, " %s", name);
+      json_free(s);
+    }
+    bool all = n && have && !late->len, over = t_past(w_now(u->w), till);
+    if (all) fprintf(stderr, "synop: write %" PRIu64 " is in force at all %d live nodes%s%s\n", version, have, gone->len ? "; gone and not asked:" : "", gone->str);
+    else if (over) fprintf(stderr, "synop: write %" PRIu64 " is in force at %d nodes; not confirmed by:%s%s%s\n", version, have, late->len ? late->str : " anybody", gone->len ? "; gone:" : "", gone->str);
+    json_free(n);
+    g_string_free(late, TRUE);
+    g_string_free(gone, TRUE);
+    if (all) return X_OK;
+    if (over || !w_nap(u->w, t_ms(300))) return X_WAIT;
+  }
+}
+
 static int put(use *u, const char *verb, const char *res, str body) {
   char path[80], key[40];
   snprintf(path, sizeof path, "/v1/%s", res);
@@ -116,6 +151,9 @@
   head_set(&h, H_KEY, u->key ? u->key : key);
   GString *b = g_string_new(NULL);
   int x = show(u, fetch(u, verb, path, &h, body, b, t_ms(9000)), b);
+  json *j = x == X_OK && u->wait ? json_read(str_g(b), NULL) : NULL;
+  if (j) x = wait_all(u, (uint64_t)json_num(j, "version", 0));
+  json_free(j);
   g_string_free(b, TRUE);
   head_free(&h);
   return x;
