Orders name the engine's run that they were decided for

Cause: an engine lost its power and came back within a report's wait; the holder ordered an adapter whose base was there in the run before. Excluded: owed room, a second holder.

--- a/lib/vane/place.c
+++ b/lib/vane/place.c
@@ -49,8 +49,10 @@
   if (!epoch) { err_set(x, E_HOLDER, "no contract for %s", e->self.s); return -1; }
   GString *b = g_string_new(NULL), *got = g_string_new(NULL);
   char ep[32], path[32];
-  json_f(b, "{\"model\":\"%s\",\"adapter\":\"%s\",\"weightsMb\":%" PRIu64 ",\"slots\":%u,\"epoch\":%" PRIu64 ",\"order\":%" PRIu64 ",\"holder\":\"%s\"}",
+  json_f(b, "{\"model\":\"%s\",\"adapter\":\"%s\",\"weightsMb\":%" PRIu64 ",\"slots\":%u,\"epoch\":%" PRIu64 ",\"order\":%" PRIu64 ",\"holder\":\"%s\",\"boot\":",
          model_.s, adapter_.s, megs, slots, epoch, ++e->orders, v->s.v.self.s);
+  json_quote(b, str_of(e->boot));
+  g_string_append_c(b, '}');
   snprintf(ep, sizeof ep, "%" PRIu64, epoch);
   snprintf(path, sizeof path, "/v1/%s", what);
   head h = { { 0 } };
@@ -290,8 +292,10 @@
     if (st && st != 202) {
       repay(e, boot, megs, slots);
       if (st == -1) return E_HOLDER;
-      failed(e, model_, adapter_);
       *wait = 2000;
+      /* the engine knows a younger epoch, or is a new run that the last report did not show: no fault of the load */
+      if (st == 412) return err_set(x, E_ENGINE, "%s refused an order that is out of date", e->self.s);
+      failed(e, model_, adapter_);
       return E_ORDER;
     }
     /* taken, or nobody knows: only a report settles it, and of an order that was taken only a report that moved on */
--- a/stand/gauge.c
+++ b/stand/gauge.c
@@ -98,14 +98,17 @@
   o.late = g->woke.us && !t_past(o.at, t_add(g->woke, t_ms(20)));
   uint64_t number = json_num(j, "order", 0), megs = json_num(j, "weightsMb", 0), used;
   unsigned slots = json_num(j, "slots", 0), taken;
+  /* what was ordered of an earlier run says nothing of this one */
+  const char *boot = json_text(j, "boot", "");
+  bool other = boot[0] && strcmp(boot, g->boot);
   bool sound = j && o.model.s[0];
   json_free(j);
   if (!sound) { reply(a, 400, false, "no order"); return; }
   if (g->k.dropOrders > 0) { g->k.dropOrders--; ask_end(a, false); return; }
-  if (!g->k.noEpochs && (o.epoch < g->epoch || (o.epoch == g->epoch && number <= g->number))) {
+  if (!g->k.noEpochs && (other || o.epoch < g->epoch || (o.epoch == g->epoch && number <= g->number))) {
     g->stale++;
     g_array_append_val(g->orders, o);
-    reply(a, 412, false, "a younger epoch or order is known");
+    reply(a, 412, false, other ? "meant for an earlier run" : "a younger epoch or order is known");
     return;
   }
   if (o.epoch >= g->epoch) { g->epoch = o.epoch; g->number = number; }
--- a/tests/losses.c
+++ b/tests/losses.c
@@ -231,10 +231,30 @@
   return true;
 }
 
+/* a new run of an engine holds nothing, and nobody has seen a report of it yet */
+static bool engines_restart_between_reports(fleet *f) {
+  if (!fleet_up(f)) return false;
+  check_watch(f);
+  f->callers->c->p.zipf = 0.3;
+  f->callers->c->p.withAdapter = 0.9;
+  go(f, 14);
+  sim_run(f->s, t_ms(5000));
+  for (int i = 0; i < 40; i++) {
+    host *h = f->engine[sim_draw(f->s, f->engines)];
+    host_power(h);
+    host_start(h);
+    sim_run(f->s, t_ms(300 + (int64_t)sim_draw(f->s, 900)));
+  }
+  sim_run(f->s, t_ms(8000));
+  fleet_quiet(f);
+  return sonde_count(f->callers->c, S_DONE) > 0;
+}
+
 const story loss_stories[] = {
   { "all_masts_are_killed", all_masts_are_killed, 6, 6, 50 }, { "all_vanes_are_killed", all_vanes_are_killed, 6, 6, 50 }, { "every_process_is_killed", every_process_is_killed, 6, 6, 50 },
   { "all_engines_restart_empty", all_engines_restart_empty, 6, 6, 50 }, { "an_area_is_lost", an_area_is_lost, 6, 6, 50 }, { "the_head_and_engines_are_lost", the_head_and_engines_are_lost, 6, 6, 50 },
   { "a_core_machine_is_replaced_in_traffic", a_core_machine_is_replaced_in_traffic, 6, 6, 50 }, { "a_herd_freezes_and_wakes", a_herd_freezes_and_wakes, 6, 6, 50 },
   { "the_head_is_lost_after_an_answer", the_head_is_lost_after_an_answer, 3, 2, 200 }, { "a_pacer_is_cut_from_the_core", a_pacer_is_cut_from_the_core, 5, 5, 100 },
   { "engines_refuse_every_run", engines_refuse_every_run, 4, 5, 50 }, { "cold_engines_meet_many_vanes", cold_engines_meet_many_vanes, 8, 3, 50 },
+  { "engines_restart_between_reports", engines_restart_between_reports, 4, 4, 100 },
   { "tails_die_while_marks_come", tails_die_while_marks_come, 4, 3, 100 }, { NULL, NULL, 0, 0, 0 } };
