--- a/lib/vane/place.c
+++ b/lib/vane/place.c
@@ -72,7 +72,7 @@
 }
 
 /* loads that fail are not tried again at once, and less and less often */
-typedef struct { int fails; tick till; } backoff;
+typedef struct { int fails; tick till, left; } backoff;
 static backoff *back_of(engine *e, id model_, id adapter_) {
   char key[180];
   snprintf(key, sizeof key, "%s/%s+%s", e->self.s, model_.s, adapter_.s);
@@ -102,7 +102,7 @@
   vane *v = e->v;
   holding *h = engine_holding(e, model_, adapter_);
   if (!h) return OK;
-  bool used = h->used, busy = h->running > 0;
+  bool used = h->used, busy = h->running > 0, up = h->state == HOLD_UP;
   if (h->state != HOLD_UNLOADING) {
     h->state = HOLD_UNLOADING;
     int st = order(e, "unload", model_, adapter_, h->megs, h->slots, t_never(), x);
@@ -110,7 +110,8 @@
     if (st && st != 202 && st != 404) return x->code;
     v->unloads++;
     v->drained += busy;
-    if (!used) v->wasted++;
+    if (up && !used) v->wasted++;
+    back_of(e, model_, adapter_)->left = w_now(v->s.w);
   }
   tick till = t_add(w_now(v->s.w), t_ms(UNLOAD_MS));
   while (engine_holding(e, model_, adapter_)) {
@@ -282,6 +283,7 @@
     e->owedMegs += megs; e->owedSlots += slots;
     began = w_now(v->s.w);
     v->loads++;
+    if (b->left.us && !t_past(began, t_add(b->left, t_ms(WASTE_TIMES * (int64_t)item_penalty(v, e->type, model_, adapter_))))) v->wasted++;
     int st = order(e, "load", model_, adapter_, megs, slots, last, x);
     if (!st && x->code == E_LOST) {
       /* nothing was sent, so nothing is owed */
--- a/lib/vane/trial.c
+++ b/lib/vane/trial.c
@@ -1,4 +1,5 @@
 #include "trial.h"
+#include "vane.h"
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -153,6 +154,7 @@
   formula own;
   bool expr = g_str_has_prefix(name, "expr:") && !formula_make(&own, name + 5, NULL);
   int *next = next_use(t), *due = g_new(int, n), *uses = g_new0(int, n);
+  tick *left = g_new0(tick, n);
   bool *up = g_new0(bool, n);
   cand *all = g_new0(cand, n);
   int *which = g_new(int, n);
@@ -174,6 +176,7 @@
     due[a->thing] = next[i];
     if (up[a->thing]) { r.hits++; uses[a->thing]++; continue; }
     r.loads++;
+    r.wasted += left[a->thing].us && l.now.us - left[a->thing].us < WASTE_TIMES * (int64_t)(g->loadMs * 1000);
     r.delayMs += g->loadMs;
     if (g->megs > room) continue;
     while (used + g->megs > room) {
@@ -202,7 +205,7 @@
           up[j] = false;
           used -= g_array_index(t->things, t_thing, j).megs;
           r.unloads++;
-          r.wasted += uses[j] < 2;
+          left[j] = l.now;
           break;
         }
     }
@@ -213,6 +216,6 @@
   }
   history_free(&h);
   sched_free(&l.w.tasks);
-  g_free(next); g_free(due); g_free(uses); g_free(up); g_free(all); g_free(which);
+  g_free(next); g_free(due); g_free(uses); g_free(left); g_free(up); g_free(all); g_free(which);
   return r;
 }
--- a/lib/vane/trial.h
+++ b/lib/vane/trial.h
@@ -12,6 +12,7 @@
 enum relation { REL_NONE, REL_LIKE, REL_UNLIKE };
 typedef struct t_plan { int things, asks; double zipf, perS, bursts; enum relation rel; uint64_t seed; } t_plan;
 /** What a policy made of a trace. */
+/** Here every load serves the request that it is for, so one is wasted only when it brings back what went too soon. */
 typedef struct t_result { uint64_t asks, hits, loads, wasted, unloads; double delayMs; } t_result;
 /** What is varied in a trial; 0 means the default. */
 typedef struct t_knobs { double room, startMs, smooth; int64_t windowS; } t_knobs;
--- a/lib/vane/vane.h
+++ b/lib/vane/vane.h
@@ -7,6 +7,9 @@
 
 /** How long a confirmation of what is in force, or a list of engines, is good for. */
 enum { FRESH_MS = 2000, LIST_OLD_MS = 2000 };
+/** A load is wasted when what it brought served nobody before it was unloaded, or when it brings back what was unloaded
+ * less than so many of its load times before. */
+enum { WASTE_TIMES = 10 };
 enum hold_state { HOLD_UP, HOLD_LOADING, HOLD_UNLOADING };
 
 /** A model or adapter on an engine, as its last report says. */
