Adapters go before their base, and an adapter without its base is no hit

Cause: the comparison that sorts the eviction set put an adapter before its own base but weighed both by size against the others, which is no order, so qsort could put the base first; the adapters stayed up without it, the holder called them loaded, and 69 requests waited out their deadlines in turn. Excluded: the pace (tickets were free), contracts (one holder throughout). What hangs on a base now sorts by the base's size and goes before it; a load looks at the base as well.

--- a/bench/policies.c
+++ b/bench/policies.c
@@ -72,6 +72,10 @@
   for (int i = 0; i < f->vanes; i++) { busy += f->vane[i]->va->drained; gone += f->vane[i]->va->unloads; }
   printf("%s %s %s loads %d wasted %d wait %.0f answered %.4f kinds %.4f %.4f %.4f busy %.4f\n", argv[1], argv[2], argv[3], loads, wasted, n ? wait / n : 0, (double)(done[0] + done[1] + done[2]) / all,
          (double)done[0] / asked[0], (double)done[1] / asked[1], (double)done[2] / asked[2], gone ? (double)busy / (double)gone : 0);
+  for (guint i = 0; g_getenv("SIM_NOTES") && i < s->log->len; i++) {
+    s_try *y = &g_array_index(s->log, s_try, i);
+    if (y->how != S_DONE && y->from.us >= from.us) fprintf(stderr, "  %.3f to %.3f %s at %s: %s+%s how %d status %d code %d\n", (double)y->from.us / 1e6, (double)y->to.us / 1e6, y->k->tag, y->vane, y->k->model.s, y->k->adapter.s, y->how, y->status, y->code);
+  }
   check_quiet(f);
   if (f->faults->len) fprintf(stderr, "%s", f->faults->str);
   g_free(text);
--- a/lib/vane/place.c
+++ b/lib/vane/place.c
@@ -237,8 +237,9 @@
   unsigned slots;
   char key[128];
   history_key(key, sizeof key, model_, adapter_);
-  holding *h = engine_holding(e, model_, adapter_);
-  if (h && h->state == HOLD_UP) return OK;
+  holding *h = engine_holding(e, model_, adapter_), *below = engine_holding(e, model_, id_c(""));
+  /* an adapter serves only on its base, which may have gone */
+  if (h && h->state == HOLD_UP && below && below->state == HOLD_UP) return OK;
   if (!item_size(v, model_, adapter_, &megs, &slots)) return err_set(x, E_MODEL, "the catalogue has no %s", key);
   if (megs > e->weightsMb || slots > e->adapterSlots) return err_set(x, E_FIT, "%s does not fit on %s", key, e->self.s);
   backoff *b = back_of(e, model_, adapter_);
@@ -250,6 +251,7 @@
     if (r) return r;
   }
   h = engine_holding(e, model_, adapter_);
+  if (h && h->state == HOLD_UP) return OK;
   if (h && h->state == HOLD_UNLOADING) {
     tick till = t_add(now, t_ms(UNLOAD_MS));
     while ((h = engine_holding(e, model_, adapter_)) && h->state == HOLD_UNLOADING && !t_past(w_now(v->s.w), till))
--- a/lib/vane/policy.c
+++ b/lib/vane/policy.c
@@ -34,13 +34,25 @@
   return true;
 }
 
+/* what goes with a base counts by the size of the base, and goes before it, so that the order is one for all pairs */
+static void group(cand *all, int n) {
+  for (int i = 0; i < n; i++) {
+    all[i].group = all[i].megs;
+    for (int k = 0; k < n; k++)
+      if (all[k].taken && is_base(&all[k]) && id_eq(all[k].model, all[i].model)) all[i].group = all[k].megs;
+  }
+}
+
 static int larger(const void *a, const void *b) {
   const cand *x = a, *y = b;
   if (x->taken != y->taken) return x->taken ? -1 : 1;
   if (!x->taken) return 0;
-  if (id_eq(x->model, y->model) && is_base(x) != is_base(y)) return is_base(x) ? 1 : -1;
+  if (x->group != y->group) return x->group > y->group ? -1 : 1;
+  int same = strcmp(x->model.s, y->model.s);
+  if (same) return same;
+  if (is_base(x) != is_base(y)) return is_base(x) ? 1 : -1;
   if (x->megs != y->megs) return x->megs > y->megs ? -1 : 1;
-  return strcmp(x->model.s, y->model.s);
+  return strcmp(x->adapter.s, y->adapter.s);
 }
 
 int policy_fill(const policy *p, cand *all, int n, lack want, uint64_t (*draw)(void *), void *ctx) {
@@ -66,6 +78,7 @@
   }
   int got = 0;
   for (int i = 0; i < n; i++) got += all[i].taken;
+  group(all, n);
   qsort(all, n, sizeof *all, larger);
   return got;
 }
--- a/lib/vane/policy.h
+++ b/lib/vane/policy.h
@@ -12,6 +12,7 @@
   bool busy, barred;
   double worth;
   bool taken;
+  uint64_t group;
 } cand;
 
 /** What is missing on an engine, in both its measures. */
--- a/stand/gauge.c
+++ b/stand/gauge.c
@@ -136,6 +136,8 @@
   } else if (!i) code = 404;
   else if (g->k.failUnloads > 0) { g->k.failUnloads--; code = 500; }
   else if (i->state != 'd') {
+    /* a base that goes from under its adapters leaves them useless, and their places taken */
+    if (id_none(o.adapter)) list_each(k, &g->items, g_item, n) g->orphans += id_eq(k->model, o.model) && !id_none(k->adapter) && k->state == 'u';
     i->state = 'd';
     o.taken = true;
     work *k = g_new(work, 1);
--- a/stand/stand.h
+++ b/stand/stand.h
@@ -31,7 +31,7 @@
   bell news;
   GArray *orders, *streams, *refusals;
   tick born;
-  uint64_t stale, past, prefixHits, cut;
+  uint64_t stale, past, orphans, prefixHits, cut;
   tick woke;
   GQueue prefixes;
   GString *oldReport;
--- a/tests/check.c
+++ b/tests/check.c
@@ -336,6 +336,7 @@
 /* R9 */
 static void room_of(fleet *f, host *h, gauge *g, void *ctx) {
   (void)ctx;
+  if (g->orphans) breach(f, "R9 %s was ordered to unload a base from under %" PRIu64 " adapters", h->self.s, g->orphans);
   if (g->past) breach(f, "R9 %s was ordered past its room %" PRIu64 " times", h->self.s, g->past);
 }
 void check_room(fleet *f) { each_gauge(f, room_of, NULL); }
