--- a/bin/sonde.c
+++ b/bin/sonde.c
@@ -6,10 +6,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-static struct { char *vanes, *file, *policy, *ip; double rate, count, seconds, zipf; } a = { NULL, NULL, NULL, "127.0.0.1", 5, 100, 60, 1.0 };
+static struct { char *vanes, *file, *policy, *ip, *log; double rate, count, seconds, zipf; int tries; } a = { NULL, NULL, NULL, "127.0.0.1", NULL, 5, 100, 60, 1.0, 0 };
 static const struct argp_option opts[] = { { "vanes", 'v', "A,B", 0, "addresses of vanes", 0 }, { "catalogue", 'c', "FILE", 0, "models and adapters to ask for", 0 },
   { "policy", 'p', "FILE", 0, "the policy that names the kinds", 0 }, { "rate", 'r', "N", 0, "requests a second", 0 }, { "count", 'n', "N", 0, "requests in all", 0 }, { "seconds", 's', "N", 0, "at most so long", 0 }, { "zipf", 'z', "X", 0, "how steep the demand is", 0 },
-  { "ip", 'i', "IP", 0, "address to call from", 0 }, { 0 } };
+  { "log", 'l', "FILE", 0, "writes every try to a file at the end", 0 }, { "tries", 't', "N", 0, "how often one comes back when told to (0)", 0 }, { "ip", 'i', "IP", 0, "address to call from", 0 }, { 0 } };
 
 static error_t parse(int key, char *arg, struct argp_state *st) {
   (void)st;
@@ -18,6 +18,8 @@
     case 'c': a.file = arg; return 0;
     case 'p': a.policy = arg; return 0;
     case 'i': a.ip = arg; return 0;
+    case 'l': a.log = arg; return 0;
+    case 't': a.tries = atoi(arg); return 0;
     case 'r': a.rate = atof(arg); return 0;
     case 'n': a.count = atof(arg); return 0;
     case 's': a.seconds = atof(arg); return 0;
@@ -62,12 +64,20 @@
   for (int i = 0; i < 3 && i < c->kindCount; i++) s->p.kinds[i] = c->kinds[i].self.s;
   s->p.perS = a.rate;
   s->p.zipf = a.zipf;
+  s->p.tries = a.tries;
   sonde_start(s);
   task_start(&w->tasks, "end", end_run, s);
   real_run(w, NULL, NULL);
   GString *b = g_string_new(NULL);
   sonde_json(s, b);
   fputs(b->str, stdout);
+  FILE *f = a.log ? fopen(a.log, "w") : NULL;
+  static const char *const names[] = { "open", "done", "notRun", "unknown", "broken", "noAnswer", "wrong", "left" };
+  for (guint i = 0; f && i < s->log->len; i++) {
+    s_try *y = &g_array_index(s->log, s_try, i);
+    fprintf(f, "T %" PRId64 " %" PRId64 " %s %s %d %s %s %d\n", y->from.us, y->to.us, y->k->tag, names[y->how], y->code, y->k->resumable ? "resumable" : "once", y->vane, y->retryS);
+  }
+  if (f) fclose(f);
   int wrong = sonde_count(s, S_WRONG);
   g_string_free(b, TRUE);
   real_free(w);
--- a/stand/gauge.c
+++ b/stand/gauge.c
@@ -6,6 +6,19 @@
 
 static void moved(gauge *g) { g->seq++; bell_ring(&g->news); }
 
+static void jot(gauge *g, char what, const char *rest) {
+  char line[420];
+  if (!g->note) return;
+  snprintf(line, sizeof line, "%c %" PRId64 " %s %s", what, w_now(g->w).us, g->self.s, rest);
+  g->note(g->note_ctx, line);
+}
+
+static void jot_order(gauge *g, const g_order *o) {
+  char rest[300];
+  snprintf(rest, sizeof rest, "%c %s %s %s %" PRIu64 " %d %d", o->what, o->model.s, o->adapter.s[0] ? o->adapter.s : "-", o->holder.s, o->epoch, o->taken, o->past);
+  jot(g, 'O', rest);
+}
+
 static g_item *find(gauge *g, id m, id a) {
   list_each(i, &g->items, g_item, n) if (id_eq(i->model, m) && id_eq(i->adapter, a)) return i;
   return NULL;
@@ -108,6 +121,7 @@
   if (!g->k.noEpochs && (other || o.epoch < g->epoch || (o.epoch == g->epoch && number <= g->number))) {
     g->stale++;
     g_array_append_val(g->orders, o);
+    jot_order(g, &o);
     reply(a, 412, false, other ? "meant for an earlier run" : "a younger epoch or order is known");
     return;
   }
@@ -145,6 +159,7 @@
     task_start(&g->w->tasks, "unload", work_run, k);
   }
   g_array_append_val(g->orders, o);
+  jot_order(g, &o);
   moved(g);
   if (deaf) { w_nap(g->w, t_ms(8000)); ask_end(a, false); return; }
   reply(a, code, false, code == 202 ? "taken" : "refused");
@@ -178,6 +193,7 @@
     g_refusal no = { .at = s.from };
     g_strlcpy(no.tag, s.tag, sizeof no.tag);
     g_array_append_val(g->refusals, no);
+    jot(g, 'N', no.tag);
     reply(a, here ? 503 : 409, false, here ? "too many streams" : "not loaded here");
     return;
   }
@@ -188,6 +204,7 @@
   g->running++;
   guint at = g->streams->len;
   g_array_append_val(g->streams, s);
+  jot(g, 'S', s.tag);
   if (g->k.dieEarly > 0) {
     /* the run has begun, and nobody hears of it; after that the engine takes no more */
     g->k.dieEarly--;
--- a/stand/sonde.c
+++ b/stand/sonde.c
@@ -31,6 +31,7 @@
       if (!*start || !n || atoi(n + 4) != k->tokens) k->how = S_WRONG;
       k->tokens++;
     }
+    if (k->how == S_WRONG) fprintf(stderr, "sonde: %s, %d of %d events, run %s: wrong is: %.200s\n", k->tag, k->tokens, want, run, got->str);
     g_string_erase(got, 0, end - got->str + 2);
   }
 }
@@ -74,6 +75,7 @@
     }
     if (k->how == S_OPEN) k->how = r == E_TIME && t->leave.us ? S_LEFT : r == E_GONE && done ? S_DONE : r == E_GONE ? S_WRONG : S_BROKEN;
   }
+  if (k->how == S_WRONG) fprintf(stderr, "sonde: %s is wrong: %d of %d events, status %d, ended %d broken %d, left %.100s\n", k->tag, k->tokens, t->tokens, c->status, c->ended, c->broken, got->str);
   k->to = w_now(w);
   call_close(c);
   g_string_free(b, TRUE);
--- a/stand/stand.h
+++ b/stand/stand.h
@@ -35,6 +35,9 @@
   tick woke;
   GQueue prefixes;
   GString *oldReport;
+  /** Called with each line of the record as it is written, so that it outlives the process; or NULL. */
+  void (*note)(void *ctx, const char *line);
+  void *note_ctx;
 } gauge;
 
 gauge *gauge_new(world *w, id self, id type, id area, uint64_t weightsMb, unsigned slots);
