A channel closed in the middle of an answer is broken, not complete

Found by scripts/soak on real processes: callers' streams that ended with their vane were taken for whole at the HTTP level (only the missing 'done' gave them away), 6 to 9 of 120 streams each time four vanes and an engine were killed under load. Cause: the library's reader calls an exchange complete at the end of the bytes, last chunk or not; masts would have passed a cut answer on as whole. Excluded: the vane's own end of a broken stream (no last chunk was sent), the sonde's count of events. The client now looks whether bytes are there before it reads, and holds a said length against what came.

--- a/lib/site/real.c
+++ b/lib/site/real.c
@@ -1,4 +1,5 @@
 #include "real.h"
+#include <sys/socket.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <libwebsockets.h>
@@ -362,6 +363,10 @@
       c->in.v[H_ETAG] = hdr_text(wsi, WSI_TOKEN_HTTP_ETAG);
       c->in.v[H_TYPE] = hdr_text(wsi, WSI_TOKEN_HTTP_CONTENT_TYPE);
       c->status = lws_http_client_http_response(wsi);
+      char *size = hdr_text(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH);
+      c->said = size ? strtoull(size, NULL, 10) : UINT64_MAX;
+      if (c->status == 204 || c->status == 304) c->said = 0;
+      g_free(size);
       lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
       bell_ring(&c->news);
       return 0;
@@ -370,16 +375,26 @@
       if (!c) return -1;
       char buf[LWS_PRE + PIECE], *p = buf + LWS_PRE;
       int n = PIECE;
-      return lws_http_client_read(wsi, &p, &n) < 0 ? -1 : 0;
+      /* at the end of the bytes the library's reader calls the exchange complete, last chunk or not */
+      char peek;
+      c->reading = recv(lws_get_socket_fd(wsi), &peek, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
+      n = lws_http_client_read(wsi, &p, &n);
+      /* the call may have been dropped meanwhile */
+      if (lws_get_opaque_user_data(wsi) == c) c->reading = false;
+      return n < 0 ? -1 : 0;
     }
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
       if (!c) return -1;
       g_string_append_len(c->got, in, len);
+      c->came += len;
       if (c->got->len > c->most + GOT_MOST) return -1;
       bell_ring(&c->news);
       return 0;
     case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-      if (c) { c->ended = true; bell_ring(&c->news); }
+      /* whole is only what ended while bytes were read, or what has the length that was said */
+      if (c && (c->reading || c->came == c->said)) c->ended = true;
+      else if (c) c->broken = true;
+      if (c) bell_ring(&c->news);
       return -1;
     case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
       if (c) {
--- a/lib/site/world.h
+++ b/lib/site/world.h
@@ -40,7 +40,8 @@
   int status;
   head in;
   GString *got;
-  bool ended, broken;
+  bool ended, broken, reading;
+  uint64_t said, came;
   size_t most;
   tick by;
   bell news;
