--- a/Makefile
+++ b/Makefile
@@ -3,13 +3,15 @@
 PKG = glib-2.0 yajl libprotobuf-c libwebsockets cunit
 CFLAGS ?= -O2 -g
 WARN = -std=gnu11 -Wall -Wextra -Werror
-INC = -Ilib/site -Ilib/mast -Ilib/vane -Istand -Itests -I$(B) $(shell pkg-config --cflags $(PKG))
-LIBS = $(shell pkg-config --libs $(PKG)) -lpcl -lz -lm -lpthread
+INC = -Ilib/site -Ilib/mast -Ilib/vane -Ilib/gate -Iplatform -Istand -Itests -I$(B) $(shell pkg-config --cflags $(PKG))
+LIBS = $(shell pkg-config --libs $(PKG)) -lpcl -lhttp_parser -lz -lm -lpthread
 SITE = $(patsubst %.c,$(B)/%.o,$(wildcard lib/site/*.c)) $(B)/wire.pb-c.o
 MAST = $(patsubst %.c,$(B)/%.o,$(wildcard lib/mast/*.c))
 VANE = $(patsubst %.c,$(B)/%.o,$(wildcard lib/vane/*.c))
+GATE = $(patsubst %.c,$(B)/%.o,$(wildcard lib/gate/*.c))
+PLATFORM = $(patsubst %.c,$(B)/%.o,$(wildcard platform/*.c))
 STAND = $(patsubst %.c,$(B)/%.o,$(wildcard stand/*.c))
-PROGS = $(patsubst bin/%.c,$(B)/bin/%,$(wildcard bin/*.c))
+PROGS = $(patsubst bin/%.c,$(B)/bin/%,$(wildcard bin/*.c)) $(B)/bin/outpost
 
 all: $(PROGS)
 
@@ -30,18 +32,27 @@
 	@rm -f $@; ar rcs $@ $^
 $(B)/libvane.a: $(VANE)
 	@rm -f $@; ar rcs $@ $^
+$(B)/libgate.a: $(GATE)
+	@rm -f $@; ar rcs $@ $^
+$(B)/libplatform.a: $(PLATFORM)
+	@rm -f $@; ar rcs $@ $^
 $(B)/libstand.a: $(STAND)
 	@rm -f $@; ar rcs $@ $^
 
-$(B)/bin/%: $(B)/bin/%.o $(B)/libmast.a $(B)/libvane.a $(B)/libstand.a $(B)/libsite.a
-	@$(CC) $(CFLAGS) $< $(B)/libmast.a $(B)/libvane.a $(B)/libstand.a $(B)/libsite.a $(LIBS) -o $@
+OURS = $(B)/libplatform.a $(B)/libgate.a $(B)/libmast.a $(B)/libvane.a $(B)/libstand.a $(B)/libsite.a
+$(B)/bin/%: $(B)/bin/%.o $(OURS)
+	@$(CC) $(CFLAGS) $< $(OURS) $(LIBS) -o $@
+
+$(B)/bin/outpost: $(B)/platform/bin/outpost.o $(OURS)
+	@mkdir -p $(B)/bin
+	@$(CC) $(CFLAGS) $< $(OURS) $(LIBS) -o $@
 
-$(B)/bin/stories: $(patsubst %.c,$(B)/%.o,$(wildcard tests/*.c)) $(B)/libmast.a $(B)/libvane.a $(B)/libstand.a $(B)/libsite.a
+$(B)/bin/stories: $(patsubst %.c,$(B)/%.o,$(wildcard tests/*.c)) $(OURS)
 	@mkdir -p $(B)/bin
-	@$(CC) $(CFLAGS) $(patsubst %.c,$(B)/%.o,$(wildcard tests/*.c)) $(B)/libmast.a $(B)/libvane.a $(B)/libstand.a $(B)/libsite.a $(LIBS) -o $@
+	@$(CC) $(CFLAGS) $(patsubst %.c,$(B)/%.o,$(wildcard tests/*.c)) $(OURS) $(LIBS) -o $@
 
 BENCH = growth load policies
-$(addprefix $(B)/bin/,$(BENCH)): $(B)/bin/%: $(B)/bench/%.o $(B)/tests/sim.o $(B)/tests/fleet.o $(B)/tests/check.o $(B)/libmast.a $(B)/libvane.a $(B)/libstand.a $(B)/libsite.a
+$(addprefix $(B)/bin/,$(BENCH)): $(B)/bin/%: $(B)/bench/%.o $(B)/tests/sim.o $(B)/tests/kept.o $(B)/tests/fleet.o $(B)/tests/check.o $(OURS)
 	@mkdir -p $(B)/bin
 	@$(CC) $(CFLAGS) $^ $(LIBS) -o $@
 
--- /dev/null
+++ b/lib/gate/loader.c
@@ -0,0 +1,1042 @@
+#include "gate.h"
+#include <math.h>
+#include <stdio.h>
+
+enum { ALIVE_MS = 1600, ASK_MS = 800, CALL_MS = 1300, ORDER_MS = 1500, REPORT_MS = 800, LAG_MS = 450, YOUNG_MS = 3000, TICKET_MS = 400, LAST_MS = 150,
+       UNLOAD_MS = 12000, RATES_MS = 2000, RECENT_MS = 60, FAIL_MS = 800, ONE_COORDINATOR = 32, BUSY_COST = 300, SURE_MS = 1800, CANDS = 96 };
+
+/* what this node asks for; lives while requests ask again */
+typedef struct want_job { char *key; id service, model, adapter; unsigned priority; bool copy, lost; tick asked, due, failed_till; int code; id tried; tick tried_till; } want_job;
+/* at a coordinator: one placement for the whole fleet */
+typedef struct placing { char *key; id service, model, adapter, engine; unsigned priority; bool copy, done; tick asked, due; int code, held; int64_t wait; bell b; } placing;
+/* at a holder: one job of an engine */
+typedef struct place_job { node n; id model, adapter; unsigned priority; bool copy, done; tick since, asked, due; int code, held; int64_t wait; bell b; } place_job;
+
+static tick now_of(gate *g) { return w_now(g->v->s.w); }
+static tick ms_from(gate *g, double ms) { return t_add(now_of(g), (tick){ (int64_t)(ms * 1000) }); }
+static int64_t ms_till(gate *g, tick t) { int64_t ms = t_sub(t, now_of(g)).us / 1000; return MAX(ms, 0); }
+static double since_ms(gate *g, tick t) { return (double)t_sub(now_of(g), t).us / 1000; }
+static const id none = { "" };
+
+static const service *service_of(gate *g, id name) { return g->now ? routing_service(g->now, name.s) : NULL; }
+
+static char *key_of(id service, id model, id adapter) { return g_strdup_printf("%s/%s+%s", service.s, model.s, adapter.s); }
+
+/* sizes and times */
+static double size_of(const service *s, id model, id adapter) {
+  const svc_model *m = service_model(s, model.s);
+  return !m ? 0 : id_none(adapter) ? m->weights_mb : m->adapter_mb;
+}
+
+/* the load time to reckon with: one out of the store and one from the engine's own disk are learnt apart */
+static double time_of(gate *g, const service *s, id model, id adapter, bool warm) {
+  char key[140];
+  const svc_model *m = service_model(s, model.s);
+  double cold = m && m->load_ms > 0 ? m->load_ms : 2000;
+  history_key(key, sizeof key, model, adapter);
+  if (!id_none(adapter)) return history_penalty(&g->v->h, s->name, key, history_penalty(&g->v->h, s->name, "@adapter", 25));
+  if (!warm) return history_penalty(&g->v->h, s->name, key, cold);
+  g_strlcat(key, "@disk", sizeof key);
+  return history_penalty(&g->v->h, s->name, key, 0.25 * cold);
+}
+
+static double rate_of(gate *g, id model, id adapter) {
+  char key[140];
+  history_key(key, sizeof key, model, adapter);
+  return history_rate(&g->v->h, key);
+}
+
+static bool wanted_here(instance *i, id model, id adapter) {
+  list_each(j, &i->orders, place_job, n)
+    if (!j->done && id_eq(j->model, model) && (id_none(adapter) || id_eq(j->adapter, adapter))) return true;
+  return false;
+}
+
+/* what is on an engine, as the rule sees it; gives the number of them */
+static int residents_as(instance *i, const service *s, id model, id adapter, cand *all, double *mb, unsigned *slots) {
+  gate *g = i->g;
+  tick now = now_of(g);
+  int n = 0;
+  *mb = i->owed_mb;
+  *slots = i->owed_slots;
+  list_each(r, &i->residents, resident, n) {
+    for (int k = -1; k < (int)r->adapters->len && n < CANDS; k++) {
+      cand *c = &all[n++];
+      memset(c, 0, sizeof *c);
+      c->model = r->model;
+      if (k >= 0) c->adapter = id_c(r->adapters->pdata[k]);
+      double size = size_of(s, c->model, c->adapter);
+      *mb += size;
+      *slots += k >= 0;
+      c->megs = (uint64_t)ceil(size);
+      c->slots = k >= 0;
+      int copies = MAX(1, instance_copies(g, i->service, c->model, c->adapter));
+      c->rate = rate_of(g, c->model, c->adapter) / copies;
+      c->penalty = time_of(g, s, c->model, c->adapter, false);
+      c->used = r->last_used;
+      c->busy = instance_runs(i, c->model, c->adapter);
+      bool young = k < 0 && r->up_at.us && !t_past(now, t_add(r->up_at, t_ms(YOUNG_MS))) && r->last_used.us < r->up_at.us;
+      c->barred = r->unloading || young || wanted_here(i, c->model, c->adapter) || (k < 0 && !id_none(adapter) && id_eq(r->model, model));
+    }
+  }
+  return n;
+}
+
+static uint64_t chance(void *w) { return ((world *)w)->draw(w); }
+
+static lack lack_of(const service *s, double mb, unsigned slots, double add_mb, unsigned add_slots) {
+  double over = mb + add_mb - s->weights_mb;
+  lack l = { over > 0 ? (uint64_t)ceil(over) : 0, slots + add_slots > s->adapter_slots ? slots + add_slots - s->adapter_slots : 0 };
+  return l;
+}
+
+/* room that is missing for a thing and its base */
+static void needs(instance *i, const service *s, id model, id adapter, double *mb, unsigned *slots) {
+  *mb = 0;
+  *slots = 0;
+  if (!instance_resident(i, model)) *mb += size_of(s, model, none);
+  if (!id_none(adapter) && !instance_holds(i, model, adapter)) { *mb += size_of(s, model, adapter); *slots += 1; }
+}
+
+double place_cost(instance *i, const service *s, id model, id adapter, double *need_mb, unsigned *need_slots) {
+  cand all[CANDS];
+  double mb, add;
+  unsigned slots, more;
+  int n = residents_as(i, s, model, adapter, all, &mb, &slots);
+  needs(i, s, model, adapter, &add, &more);
+  *need_mb = add;
+  *need_slots = more;
+  if (add > s->weights_mb || more > s->adapter_slots) return -1;
+  lack l = lack_of(s, mb, slots, add, more);
+  if (!l.megs && !l.slots) return 0;
+  policy rule = { "cremebrulee", NULL, now_of(i->g) };
+  int got = policy_fill(&rule, all, n, l, chance, i->g->v->s.w);
+  if (got < 0) return -1;
+  double cost = 0;
+  /* what runs has to end first, and holds the engine's other orders up */
+  for (int k = 0; k < got; k++) cost += all[k].penalty * all[k].rate + (all[k].busy ? BUSY_COST : 0);
+  return cost;
+}
+
+/* the pace of the store */
+int pace_most(double loads_per_s, double window_s, double excess) { return MAX(1, (int)floor(loads_per_s * window_s * excess + 1e-9) - 1); }
+
+tick pace_next(const GArray *log, tick now, tick window, int most) {
+  if ((int)log->len < most) return now;
+  tick free_at = t_add(g_array_index(log, tick, log->len - (guint)most), window);
+  return free_at.us > now.us ? free_at : now;
+}
+
+void pace_take_over(GArray *log, tick since, tick born, tick window, int most) {
+  /* loads that nobody told of: a few always; all but three when this node is too young to have heard */
+  int unheard = t_past(since, t_add(born, window)) ? MIN(3, most - 1) : MAX(0, most - 3);
+  for (int k = 0; k < unheard; k++) g_array_append_val(log, since);
+}
+
+/* when loads out of a service's store began, and the contract under which this node has given tickets for them */
+typedef struct pace { GArray *log; uint64_t epoch; } pace;
+
+static pace *pace_of(gate *g, id service) {
+  pace *p = g_hash_table_lookup(g->paces, service.s);
+  if (p) return p;
+  p = g_new0(pace, 1);
+  p->log = g_array_new(FALSE, TRUE, sizeof(tick));
+  g_hash_table_insert(g->paces, g_strdup(service.s), p);
+  return p;
+}
+
+static void pace_free(void *q) { pace *p = q; g_array_free(p->log, TRUE); g_free(p); }
+
+static double window_s(gate *g) { return g->x.load_window_s > 0 ? g->x.load_window_s : 5; }
+static double excess(gate *g) { return g->x.load_excess > 0 ? g->x.load_excess : 1; }
+
+static void pace_add(gate *g, id service, tick at) {
+  GArray *a = pace_of(g, service)->log;
+  tick old = t_sub(at, (tick){ (int64_t)(window_s(g) * 1.2e6) });
+  while (a->len && g_array_index(a, tick, 0).us < old.us) g_array_remove_index(a, 0);
+  g_array_append_val(a, at);
+}
+
+/* a call asks for a ticket; a cast says that a load began, so that whoever takes the pace over knows */
+static int on_ticket(void *ctx, Wire__Envelope *in, reply *o, err *e) {
+  gate *g = ctx;
+  vane *v = g->v;
+  instance *i = instance_find(g, in->ticket->engine);
+  if (!in->call) {
+    if (!i) return OK;
+    if (in->ticket->key && in->ticket->key[0]) pace_add(g, i->service, now_of(g));
+    else i->ordered_at = now_of(g);
+    return OK;
+  }
+  uint64_t epoch = duty_epoch(v, "pacer");
+  if (!epoch) return err_set(e, E_HOLDER, "the pace is not held here");
+  if (in->ticket->epoch > epoch) return err_set(e, E_EPOCH, "a younger epoch is known");
+  const service *s = i ? service_of(g, i->service) : NULL;
+  if (!s) return err_set(e, E_ENGINE, "%.40s is not known here", in->ticket->engine);
+  Wire__TicketBack *b = reply_new(o, WIRE__ENVELOPE__BODY_TICKETBACK, &wire__ticket_back__descriptor);
+  b->ok = true;
+  b->last = LAST_MS * 1000;
+  if (s->loads_per_s <= 0) return OK;
+  int most = pace_most(s->loads_per_s, window_s(g), excess(g));
+  tick window = { (int64_t)(window_s(g) * 1e6) + LAST_MS * 1000 }, now = now_of(g);
+  pace *p = pace_of(g, s->name);
+  contract *c = g_hash_table_lookup(v->contracts, "pacer");
+  if (p->epoch != epoch) {
+    if (epoch > 1) pace_take_over(p->log, c->since, v->s.born, window, most);
+    p->epoch = epoch;
+  }
+  tick at = pace_next(p->log, now, window, most);
+  int64_t wait = t_sub(at, now).us;
+  b->ok = wait == 0 && !t_past(t_add(now, t_ms(LAST_MS)), c->till);
+  b->wait = (uint64_t)(wait + 999) / 1000;
+  if (!b->ok) { v->ticketsLate++; if (!b->wait) b->wait = 100; return OK; }
+  v->tickets++;
+  pace_add(g, s->name, now);
+  Wire__Ticket t = WIRE__TICKET__INIT;
+  t.engine = in->ticket->engine; t.key = in->ticket->key; t.epoch = epoch;
+  Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_TICKET, &t);
+  list_each(x, &v->s.machines, machine, n) if (x->role == ROLE_VANE && !x->gone) site_cast(&v->s, x->addr, &m);
+  return OK;
+}
+
+/* asks for a load out of the store; last is how late its order may be sent */
+static int ticket(instance *i, const service *s, const char *key, tick *last, int64_t *wait, err *x) {
+  gate *g = i->g;
+  vane *v = g->v;
+  if (s->loads_per_s <= 0) { *last = t_never(); return OK; }
+  tick from = now_of(g);
+  for (;;) {
+    id holder;
+    uint64_t epoch;
+    char addr[48] = "";
+    if (vane_grant(v, "pacer", &holder, &epoch)) {
+      machine *m = site_find(&v->s, holder);
+      if (id_eq(holder, v->s.v.self)) g_strlcpy(addr, v->s.v.addr, sizeof addr);
+      else if (m && !m->gone) g_strlcpy(addr, m->addr, sizeof addr);
+    }
+    int r = E_PACE;
+    if (addr[0]) {
+      Wire__Ticket t = WIRE__TICKET__INIT;
+      t.engine = i->self.s; t.key = (char *)key; t.epoch = epoch;
+      Wire__Envelope q = wire_msg(WIRE__ENVELOPE__BODY_TICKET, &t), *b;
+      tick sent = now_of(g);
+      r = site_call(&v->s, addr, &q, t_ms(TICKET_MS), &b, x);
+      if (r == E_DEAD) return r;
+      if (!r) {
+        bool good = b->body_case == WIRE__ENVELOPE__BODY_TICKETBACK, ok = good && b->ticketback->ok;
+        if (good) *wait = (int64_t)b->ticketback->wait;
+        if (ok) *last = t_add(sent, (tick){ (int64_t)b->ticketback->last });
+        site_done(b);
+        if (ok) return OK;
+        if (good) return err_set(x, E_PACE, "the pace is taken for %" PRId64 " ms", *wait);
+        r = E_WIRE;
+      }
+    }
+    if (since_ms(g, from) >= TICKET_MS) break;
+    if (!w_nap(v->s.w, t_ms(100))) return err_set(x, E_DEAD, "stopping");
+  }
+  /* nobody answers for the pace: a node's own small share of it */
+  double gap = 4 * MAX(g->nodes, 1) / s->loads_per_s * 1000;
+  if (g->spare_load.us && since_ms(g, g->spare_load) < gap) { *wait = 500; return err_set(x, E_PACE, "nobody holds the pace"); }
+  g->spare_load = now_of(g);
+  pace_add(g, s->name, now_of(g));
+  *last = ms_from(g, LAST_MS);
+  return OK;
+}
+
+/* orders and reports */
+static uint64_t epoch_of(instance *i) {
+  char d[64];
+  duty_engine(d, sizeof d, i->self);
+  return duty_epoch(i->g->v, d);
+}
+
+static tick contract_till(instance *i) {
+  char d[64];
+  duty_engine(d, sizeof d, i->self);
+  contract *c = g_hash_table_lookup(i->g->v->contracts, d);
+  return c ? c->till : (tick){ 0 };
+}
+
+static fields *fields_for(instance *i) {
+  fields *f = g_string_new(NULL);
+  fields_add(f, "Host", str_of(i->addr));
+  const char *expect = i->g->x.words->field[DF_EXPECT_ENGINE];
+  if (expect) fields_add(f, expect, str_of(i->self.s));
+  return f;
+}
+
+/* one exchange with an engine: the status, 0 when nothing was sent, -1 when nobody knows */
+static int exchange(instance *i, enum dialect_call call_, const char *body, GString *got, int64_t span, tick by, err *x) {
+  world *w = i->g->v->s.w;
+  const dialect_path *p = &i->g->x.words->call[call_];
+  fields *f = fields_for(i);
+  if (body) fields_add(f, "Content-Type", str_of("application/json"));
+  tick till = t_add(w_now(w), t_ms(span));
+  call *c = call_open_fields(w, i->addr, p->verb, p->path, f, str_of(body), false, by);
+  int st = 0, r = call_wait(c, till);
+  if (!r) {
+    st = c->status;
+    if (call_whole(c, got, till)) st = st == 200 && got->len ? -1 : st;
+  } else {
+    st = r == E_DEAD ? -1 : c->sent ? -1 : 0;
+    err_set(x, r, "%s did not answer", i->self.s);
+  }
+  call_close(c);
+  g_string_free(f, TRUE);
+  return st;
+}
+
+static json *words_in(gate *g, const GString *text) {
+  err e = { 0 };
+  json *j = json_read(str_g(text), &e);
+  if (j) dialect_in(g->x.words, j);
+  return j;
+}
+
+/* reads what an engine itself says that it holds; false when it says nothing */
+static bool report(instance *i, bool *busy, int *running, err *x) {
+  gate *g = i->g;
+  GString *got = g_string_new(NULL);
+  tick from = now_of(g);
+  g->n.reports++;
+  int st = exchange(i, DC_REPORT, NULL, got, REPORT_MS, t_never(), x);
+  json *j = st == 200 ? words_in(g, got) : NULL;
+  g_string_free(got, TRUE);
+  if (st == 421) instance_over(i, "its address answers for another");
+  if (!j || i->gone) { json_free(j); return false; }
+  i->seen_at = now_of(g);
+  const json *m = json_get(j, "models");
+  size_t n = m ? json_count(m) : 0;
+  Wire__Resident *r = g_new(Wire__Resident, n + 1), **rp = g_new(Wire__Resident *, n + 1);
+  for (size_t k = 0; k < n; k++) {
+    const json *o = json_at(m, k), *a = json_get(o, "adapters");
+    wire__resident__init(&r[k]);
+    r[k].model = (char *)json_text(o, "name", "");
+    r[k].edition = (uint64_t)MAX(0, json_num(o, "version", 0));
+    r[k].n_adapters = a ? json_count(a) : 0;
+    r[k].adapters = g_new(char *, r[k].n_adapters + 1);
+    for (size_t t = 0; t < r[k].n_adapters; t++) {
+      const json *name = json_at(a, t);
+      r[k].adapters[t] = name->kind == J_STR ? name->text->str : (char *)"";
+    }
+    rp[k] = &r[k];
+  }
+  *busy = json_yes(j, "busy", false);
+  *running = (int)json_num(j, "running", 0) + (int)json_num(j, "waiting", 0);
+  instance_models(i, rp, n, from, LAG_MS);
+  for (size_t k = 0; k < n; k++) g_free(r[k].adapters);
+  g_free(r);
+  g_free(rp);
+  json_free(j);
+  return true;
+}
+
+/* sends one order, only while the contract holds: 202 taken, 200 so already; 0 not sent, -1 unknown, -2 no contract */
+static int order(instance *i, bool up, id model, id adapter, tick by, err *x) {
+  gate *g = i->g;
+  uint64_t epoch = epoch_of(i);
+  if (!epoch) { err_set(x, E_HOLDER, "no contract for %s", i->self.s); return -2; }
+  if (i->gone) { err_set(x, E_ENGINE, "%s is gone", i->self.s); return -2; }
+  /* an address is not used again at once: one that gave a sign of life lately is still the same; of another an order is never sent */
+  tick seen = i->beat_at.us > i->last_byte.us ? i->beat_at : i->last_byte;
+  if (i->seen_at.us > seen.us) seen = i->seen_at;
+  if (since_ms(g, seen) > SURE_MS) {
+    bool busy;
+    int running;
+    if (!report(i, &busy, &running, x)) return 0;
+    if (i->gone || !(epoch = epoch_of(i))) return err_set(x, E_HOLDER, "no contract for %s", i->self.s), -2;
+  }
+  tick till = contract_till(i);
+  GString *t = g_string_new(NULL), *got = g_string_new(NULL);
+  json_f(t, "{\"op\":\"%s\",\"model\":", up ? "load" : "unload");
+  json_quote(t, str_of(model.s));
+  if (!id_none(adapter)) { g_string_append(t, ",\"adapter\":"); json_quote(t, str_of(adapter.s)); }
+  g_string_append(t, ",\"holder\":");
+  json_quote(t, str_of(g->v->s.v.self.s));
+  json_f(t, ",\"fence\":%" PRIu64 "}", epoch);
+  err e = { 0 };
+  json *j = json_read(str_g(t), &e);
+  dialect_out(g->x.words, j);
+  g_string_truncate(t, 0);
+  json_write(j, t);
+  json_free(j);
+  g->n.orders++;
+  history_add(&g->v->h, (entry){ EV_ORDERED, { 0 }, i->self, model, adapter, up });
+  int st = exchange(i, DC_ORDER, t->str, got, ORDER_MS, till.us < by.us ? till : by, x);
+  if (st > 0 && st != 200 && st != 202) err_set(x, E_ORDER, "%s answered %d to %s %s%s%s: %.80s", i->self.s, st, up ? "load" : "unload", model.s, adapter.s[0] ? "+" : "", adapter.s, got->str);
+  g_string_free(t, TRUE);
+  g_string_free(got, TRUE);
+  if (st > 0 && st != 421) i->seen_at = now_of(g);
+  if (st == 412) { err_set(x, E_EPOCH, "%s has seen a higher fence", i->self.s); return -2; }
+  return st;
+}
+
+static bool stop(instance *i) { return i->gone || i->g->v->s.w->tasks.dead; }
+
+static int nap(instance *i, double ms, err *x) {
+  if (!w_nap(i->g->v->s.w, (tick){ (int64_t)(MAX(ms, 1) * 1000) }) || stop(i)) return err_set(x, i->gone ? E_ENGINE : E_DEAD, "%s is gone", i->self.s);
+  return OK;
+}
+
+/* the time in ms that a kind of step took, learnt under a name of the service's own */
+static double step_of(instance *i, const char *name, double fall) { return history_penalty(&i->g->v->h, i->service, name, fall); }
+static void step_took(instance *i, const char *name, double ms) { history_timed(&i->g->v->h, i->service, name, ms); }
+
+/* unloads one thing and waits until the engine confirms it */
+static int unload(instance *i, id model, id adapter, err *x) {
+  gate *g = i->g;
+  tick from = now_of(g);
+  bool busy = false, took = false;
+  int running = 0, probes = 0, r;
+  instance_going(i, model, adapter);
+  instance_cast(i);
+  for (;;) {
+    int st = order(i, false, model, adapter, t_never(), x);
+    if (st == -2) return x->code;
+    if (st == 200 || st == 404 || st == 400 || st == 421) {
+      if (st != 200 && !took) { /* it may not be there at all: its report says */
+        if ((r = nap(i, LAG_MS, x))) return r;
+        if (!report(i, &busy, &running, x)) return err_set(x, E_ENGINE, "%s says nothing of itself", i->self.s);
+        if (instance_resident(i, model)) return err_set(x, E_ORDER, "%s does not unload %s", i->self.s, model.s);
+      }
+      break;
+    }
+    if (st == 202) {
+      if (took) from = now_of(g);
+      took = true;
+    }
+    double ms = since_ms(g, from);
+    if (ms > UNLOAD_MS) return err_set(x, E_ORDER, "%s still holds %s", i->self.s, model.s);
+    if (st != 202 && st != 409) { if ((r = nap(i, 150, x))) return r; continue; }
+    /* the first looks come when it should be done; a busy one is watched by its reports, which cost less */
+    double guess = step_of(i, "@unload", 25);
+    if (!probes++) { if ((r = nap(i, CLAMP(guess, 5, 400), x))) return r; continue; }
+    if (probes < 4) { if ((r = nap(i, 30 * probes, x))) return r; continue; }
+    if ((r = nap(i, 200, x))) return r;
+    while (report(i, &busy, &running, x) && busy && since_ms(g, from) < UNLOAD_MS) if ((r = nap(i, 150, x))) return r;
+    if (since_ms(g, from) > UNLOAD_MS / 4 && (probes % 8) == 0) instance_cast(i);
+  }
+  if (took && probes <= 3) step_took(i, "@unload", since_ms(g, from));
+  g->n.unloads++;
+  g->v->unloads++;
+  history_add(&g->v->h, (entry){ EV_UNLOADED, { 0 }, i->self, model, adapter, 0 });
+  instance_unloaded(i, model, adapter);
+  return OK;
+}
+
+/* the rule: unloads before the load, greedily by least worth, the largest first, no more than are needed */
+static int make_room(instance *i, const service *s, id model, id adapter, double mb, unsigned slots, err *x) {
+  cand all[CANDS];
+  for (int turns = 0; turns < 24; turns++) {
+    double held_mb;
+    unsigned held_slots;
+    /* the configuration may have changed while an unload was waited for */
+    s = service_of(i->g, i->service);
+    if (!s) return err_set(x, E_MODEL, "no such service");
+    int n = residents_as(i, s, model, adapter, all, &held_mb, &held_slots);
+    lack l = lack_of(s, held_mb, held_slots, mb, slots);
+    if (!l.megs && !l.slots) return OK;
+    policy rule = { "cremebrulee", NULL, now_of(i->g) };
+    int got = policy_fill(&rule, all, n, l, chance, i->g->v->s.w);
+    if (got <= 0) return err_set(x, E_ROOM, "nothing on %s may be unloaded for %s now", i->self.s, model.s);
+    int r = unload(i, all[0].model, all[0].adapter, x);
+    if (r) return r;
+  }
+  return err_set(x, E_ROOM, "%s found no room in time", i->self.s);
+}
+
+static void timed_cast(gate *g, id type, const char *key, double ms) {
+  Wire__Timed t = WIRE__TIMED__INIT, *tp = &t;
+  Wire__Rates q = WIRE__RATES__INIT;
+  t.type = type.s; t.key = (char *)key; t.ms = (uint64_t)ms;
+  q.nonce = g->v->s.nonce; q.n_timed = 1; q.timed = &tp;
+  Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_RATES, &q);
+  list_each(k, &g->v->s.machines, machine, n) if (k->role == ROLE_VANE && !k->gone) site_cast(&g->v->s, k->addr, &m);
+}
+
+/* one load order, and the wait until the thing is up */
+static int load_one(instance *i, place_job *job, const service *s, id model, id adapter, int64_t *wait, err *x) {
+  gate *g = i->g;
+  id name = s->name;
+  bool base = id_none(adapter), warm = base && g_hash_table_contains(i->held_before, model.s), busy = false;
+  double mb = size_of(s, model, adapter), guess = time_of(g, s, model, adapter, warm);
+  unsigned slots = !base;
+  char key[140];
+  int r = make_room(i, s, model, adapter, mb, slots, x), running = 0;
+  if (r) { *wait = r == E_ROOM ? 1000 : 500; return r; }
+  history_key(key, sizeof key, model, adapter);
+  if (warm) g_strlcat(key, "@disk", sizeof key);
+  tick last = t_never(), began = now_of(g);
+  int st = 0;
+  bool owed = false;
+  for (int tries = 0;; tries++) {
+    if (tries >= 40) { r = err_set(x, E_ORDER, "%s does not take the load of %s", i->self.s, key); *wait = 1000; break; }
+    if (!(s = service_of(g, name))) { r = err_set(x, E_MODEL, "no such service"); break; }
+    if (i->leaving) { r = err_set(x, E_ENGINE, "%s is leaving", i->self.s); break; }
+    if (base && !warm && (tries == 0 || t_past(now_of(g), last))) {
+      r = ticket(i, s, key, &last, wait, x);
+      if (r == E_PACE && *wait < 1500 && !stop(i) && tries < 6) {
+        job->due = ms_from(g, (double)*wait + guess);
+        if ((r = nap(i, (double)CLAMP(*wait, 20, 600), x))) break;
+        last = (tick){ 0 };
+        continue;
+      }
+      if (r) break;
+      if (!(s = service_of(g, name))) { r = err_set(x, E_MODEL, "no such service"); break; }
+    }
+    /* nothing else may have come in while the pace was waited for: an engine that is filled past its room falls */
+    cand all[CANDS];
+    double held_mb;
+    unsigned held_slots;
+    residents_as(i, s, model, adapter, all, &held_mb, &held_slots);
+    lack l = lack_of(s, held_mb, held_slots, mb, slots);
+    if (l.megs || l.slots) { r = err_set(x, E_ROOM, "the room on %s went", i->self.s); *wait = 300; break; }
+    began = now_of(g);
+    job->due = ms_from(g, guess + 20);
+    i->owed_mb += mb; i->owed_slots += slots;
+    owed = true;
+    st = order(i, true, model, adapter, last, x);
+    if (st == 200 || st == 202 || st == -1) break;
+    i->owed_mb = MAX(0, i->owed_mb - mb); i->owed_slots -= MIN(i->owed_slots, slots);
+    owed = false;
+    if (st == -2) { r = x->code; break; }
+    if (st == 421) { r = err_set(x, E_ENGINE, "%s is another engine now", i->self.s); break; }
+    if (st == 400 || st == 404) { r = E_ORDER; *wait = 5000; break; }
+    /* another order is under way, or it could not be reached */
+    if (st == 0 && tries >= 3) { r = err_set(x, E_ENGINE, "%s can't be reached", i->self.s); *wait = 500; break; }
+    if ((r = nap(i, st == 409 ? 60 : 100, x))) break;
+  }
+  if (r) { if (owed) { i->owed_mb = MAX(0, i->owed_mb - mb); i->owed_slots -= MIN(i->owed_slots, slots); } return r; }
+  if (base && st != 200) {
+    g->n.loads++;
+    g->v->loads++;
+    Wire__Ticket t = WIRE__TICKET__INIT;
+    t.engine = i->self.s; t.key = "";
+    Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_TICKET, &t);
+    list_each(k, &g->v->s.machines, machine, n) if (k->role == ROLE_VANE && !k->gone) site_cast(&g->v->s, k->addr, &m);
+  }
+  /* taken, or nobody knows: the same order again says 200 once it is up, and never starts another load while it is not */
+  bool sure = st == 202, up = st == 200, slow = false;
+  double most = guess * 6 + 8000, step = base ? CLAMP(guess * 0.06, 40, 150) : 15;
+  int looks = 0;
+  /* an adapter comes in some ms that are known by now: one in some is looked at, to learn */
+  bool known = !base && sure && history_penalty(&g->v->h, name, "@adapter", -1) > 0 && w_draw(g->v->s.w, 6);
+  if (!up && (r = nap(i, !sure ? LAG_MS : base ? guess + 2 : guess * 1.4 + 6, x))) goto out;
+  if (known) up = true;
+  while (!up) {
+    if (!sure) {
+      /* only a report that is younger than the order tells whether it was taken */
+      if (!report(i, &busy, &running, x)) { if (since_ms(g, began) > 12000) { r = E_ORDER; break; } if ((r = nap(i, 250, x))) break; continue; }
+      if (instance_holds(i, model, adapter)) { up = true; break; }
+      if (!busy) { r = err_set(x, E_ORDER, "%s did not take the load of %s", i->self.s, key); i->owed_mb = MAX(0, i->owed_mb - mb); i->owed_slots -= MIN(i->owed_slots, slots); owed = false; *wait = 200; break; }
+      sure = true;
+    }
+    if (looks < 3 || !base) {
+      st = order(i, true, model, adapter, t_never(), x);
+      if (st == 200) { up = true; break; }
+      if (st == -2 || st == 421) { r = st == 421 ? err_set(x, E_ENGINE, "%s is another engine now", i->self.s) : x->code; break; }
+      /* 202 means that it had been given up, and begins anew */
+      if (st == 202) { began = now_of(g); if ((r = nap(i, guess, x))) break; }
+    } else {
+      slow = true;
+      if (report(i, &busy, &running, x)) {
+        if (instance_holds(i, model, adapter)) { up = true; break; }
+        if (!busy && looks > 6) looks = 0;
+      }
+    }
+    looks++;
+    if (since_ms(g, began) > most) { r = err_set(x, E_ORDER, "%s loads %s for too long", i->self.s, key); *wait = 1000; break; }
+    job->due = ms_from(g, step * 2);
+    if ((r = nap(i, step * (looks < 4 ? 1 : 1.5), x))) break;
+  }
+out:
+  if (r) {
+    history_add(&g->v->h, (entry){ EV_FAILED, { 0 }, i->self, model, adapter, 0 });
+    /* what it may still hold of this keeps its room until its own report was read again */
+    if (owed) i->known_epoch = 0;
+    return r;
+  }
+  if (owed) { i->owed_mb = MAX(0, i->owed_mb - mb); i->owed_slots -= MIN(i->owed_slots, slots); }
+  double ms = since_ms(g, began);
+  if (sure && !known && !i->gone) {
+    /* an answer at the first look may have been ready for a while */
+    if (!looks) ms *= base ? 0.97 : 0.6;
+    else if (slow) ms = MAX(ms - 200, guess);
+    /* an engine's disk may hold it from a life before: that says nothing of the store */
+    if (!base || warm || ms > 0.6 * guess) {
+      const char *as = base ? key : "@adapter";
+      history_timed(&g->v->h, name, as, ms);
+      timed_cast(g, name, as, ms);
+    }
+    history_add(&g->v->h, (entry){ EV_LOADED, { 0 }, i->self, model, adapter, (int64_t)ms });
+    whisper(&g->v->s.log, "place", "%s has %s after %.0f ms.", i->self.s, key, ms);
+  }
+  instance_loaded(i, model, adapter);
+  instance_cast(i);
+  return OK;
+}
+
+/* a young holder learns what the engine holds from itself, once no order of a former holder can be on its way */
+static int know(instance *i, err *x) {
+  gate *g = i->g;
+  uint64_t epoch = epoch_of(i);
+  if (!epoch) return err_set(x, E_HOLDER, "no contract for %s", i->self.s);
+  if (i->known_epoch == epoch) return OK;
+  char d[64];
+  duty_engine(d, sizeof d, i->self);
+  contract *c = g_hash_table_lookup(g->v->contracts, d);
+  int64_t lease = (g->x.lease_ms > 0 ? g->x.lease_ms : 3000) + 200;
+  tick from = epoch > 1 ? t_add(c->since, t_ms(600)) : c->since;
+  if (i->ordered_at.us) from.us = MAX(from.us, t_add(i->ordered_at, t_ms(lease)).us);
+  int r;
+  /* an order of its own of which nobody knows would not show yet */
+  if (i->owed_mb > 0 && (r = nap(i, LAG_MS, x))) return r;
+  if (from.us > now_of(g).us && (r = nap(i, (double)t_sub(from, now_of(g)).us / 1000, x))) return r;
+  bool busy = true;
+  int running;
+  for (int k = 0; k < 30 && busy; k++) {
+    if (!report(i, &busy, &running, x)) return err_set(x, E_ENGINE, "%s says nothing of itself", i->self.s);
+    if (busy && (r = nap(i, 150, x))) return r;
+  }
+  if (epoch_of(i) != epoch) return err_set(x, E_HOLDER, "no contract for %s", i->self.s);
+  i->owed_mb = 0;
+  i->owed_slots = 0;
+  i->known_epoch = epoch;
+  return OK;
+}
+
+static int place(instance *i, place_job *job, int64_t *wait, err *x) {
+  gate *g = i->g;
+  int r = know(i, x);
+  if (r) { *wait = 400; return r; }
+  const service *s = service_of(g, i->service);
+  if (!s || !service_model(s, job->model.s)) return err_set(x, E_MODEL, "no %s is known", job->model.s);
+  if (instance_holds(i, job->model, job->adapter)) return OK;
+  if (i->leaving) return err_set(x, E_ENGINE, "%s is leaving", i->self.s);
+  if (!job->copy && instance_copies(g, i->service, job->model, job->adapter)) return OK;
+  if (!instance_resident(i, job->model)) {
+    r = load_one(i, job, s, job->model, none, wait, x);
+    if (r || id_none(job->adapter)) return r;
+    if (!(s = service_of(g, i->service))) return err_set(x, E_MODEL, "no such service");
+  }
+  return load_one(i, job, s, job->model, job->adapter, wait, x);
+}
+
+static void job_done(place_job *j, int code, int64_t wait) { j->code = code; j->wait = wait; j->done = true; bell_ring(&j->b); }
+
+static void job_drop(place_job *j) {
+  if (--j->held > 0 || !j->done) return;
+  list_cut(&j->n);
+  g_free(j);
+}
+
+/* one task for each engine that has jobs; the more urgent and older come first */
+static void work_run(void *p) {
+  instance *i = p;
+  gate *g = i->g;
+  tick idle = now_of(g);
+  while (!stop(i)) {
+    place_job *best = NULL;
+    double top = 0;
+    tick now = now_of(g);
+    list_each(j, &i->orders, place_job, n) {
+      if (j->done) continue;
+      if (t_past(now, t_add(j->asked, t_ms(ALIVE_MS)))) { j->held++; job_done(j, E_WAIT, 0); job_drop(j); continue; }
+      double worth = (10 - MIN(j->priority, 10)) * 500.0 + since_ms(g, j->since);
+      if (!best || worth > top) { best = j; top = worth; }
+    }
+    if (!best) {
+      if (t_past(now, t_add(idle, t_ms(20000)))) break;
+      if (bell_wait(&g->v->s.w->tasks, &i->work, t_add(now, t_ms(2500))) == DEAD) break;
+      continue;
+    }
+    best->held++;
+    err x = { 0 };
+    int64_t wait = 0;
+    int r = place(i, best, &wait, &x);
+    if (r && r != E_DEAD && r != E_HOLDER && r != E_PACE) say(&g->v->s.log, "place", "No load of %s%s%s on %s: %s (code %d).", best->model.s, best->adapter.s[0] ? "+" : "", best->adapter.s, i->self.s, x.text, r);
+    job_done(best, r, wait);
+    job_drop(best);
+    idle = now_of(g);
+  }
+  list_each(j, &i->orders, place_job, n) if (!j->done) { j->held++; job_done(j, E_ENGINE, 200); job_drop(j); }
+  i->worker = false;
+  instance_unref(i);
+}
+
+static int on_place(void *ctx, Wire__Envelope *in, reply *o, err *x) {
+  gate *g = ctx;
+  Wire__Place *q = in->place;
+  instance *i = instance_find(g, q->engine);
+  if (!id_fits(str_of(q->model)) || (q->adapter[0] && !id_fits(str_of(q->adapter)))) return err_set(x, E_WIRE, "no such name");
+  if (!i || i->gone) return err_set(x, E_ENGINE, "%.40s is not known here", q->engine);
+  if (!epoch_of(i)) return err_set(x, E_HOLDER, "%s is not held here", i->self.s);
+  id m = id_c(q->model), a = id_c(q->adapter);
+  place_job *j = NULL;
+  int ahead = 0;
+  list_each(k, &i->orders, place_job, n) {
+    if (k->done) continue;
+    ahead++;
+    if (id_eq(k->model, m) && id_eq(k->adapter, a)) j = k;
+  }
+  if (!j) {
+    const service *s = service_of(g, i->service);
+    j = g_new0(place_job, 1);
+    j->model = m; j->adapter = a; j->priority = q->priority; j->copy = q->copy;
+    j->since = now_of(g);
+    double each = s ? time_of(g, s, m, a, instance_resident(i, m) || g_hash_table_contains(i->held_before, m.s)) : 1000;
+    if (s && !id_none(a) && !instance_resident(i, m)) each += time_of(g, s, m, none, g_hash_table_contains(i->held_before, m.s));
+    j->due = ms_from(g, each * (ahead + 1) + 30);
+    bell_init(&j->b);
+    list_push(&i->orders, &j->n);
+  }
+  j->asked = now_of(g);
+  j->priority = MIN(j->priority, q->priority);
+  j->copy &= q->copy;
+  j->held++;
+  instance_ref(i);
+  if (!i->worker) {
+    i->worker = true;
+    instance_ref(i);
+    task_start(&g->v->s.w->tasks, "place", work_run, i);
+  }
+  bell_ring(&i->work);
+  tick till = ms_from(g, (double)MIN(q->wait, ASK_MS));
+  while (!j->done) if (bell_wait(&g->v->s.w->tasks, &j->b, till) != RUNG) break;
+  Wire__PlaceBack *b = reply_new(o, WIRE__ENVELOPE__BODY_PLACEBACK, &wire__place_back__descriptor);
+  b->up = j->done && !j->code;
+  b->code = (uint32_t)(j->done ? j->code : E_WAIT);
+  b->wait = (uint64_t)(j->done ? j->wait : ms_till(g, j->due));
+  job_drop(j);
+  instance_unref(i);
+  return OK;
+}
+
+/* where a duty's holder is; false when nobody lives */
+static bool holder_addr(gate *g, id engine, char addr[48]) {
+  char d[64];
+  id holder;
+  uint64_t epoch;
+  duty_engine(d, sizeof d, engine);
+  if (duty_epoch(g->v, d)) { g_strlcpy(addr, g->v->s.v.addr, 48); return true; }
+  if (!vane_grant(g->v, d, &holder, &epoch) || id_eq(holder, g->v->s.v.self)) return false;
+  machine *m = site_find(&g->v->s, holder);
+  if (!m || m->gone || m->role != ROLE_VANE) return false;
+  g_strlcpy(addr, m->addr, 48);
+  return true;
+}
+
+/* how many placements of this coordinator an engine has before it */
+static int queued_on(gate *g, id engine) {
+  int n = 0;
+  GHashTableIter it;
+  gpointer p;
+  g_hash_table_iter_init(&it, g->placings);
+  while (g_hash_table_iter_next(&it, NULL, &p)) n += !((placing *)p)->done && id_eq(((placing *)p)->engine, engine);
+  return n;
+}
+
+/* the engine where a thing costs least: what had to go, how long it waits and loads, how busy the engine is */
+static instance *choose(gate *g, placing *p, const service *s, const GPtrArray *not_these, int *code) {
+  instance *best = NULL;
+  double least = 0, lambda = rate_of(g, p->model, p->adapter);
+  int copies = instance_copies(g, s->name, p->model, p->adapter);
+  double worth = time_of(g, s, p->model, p->adapter, false) * lambda / (copies + 1);
+  *code = E_ENGINE;
+  for (int round = 0; round < 2 && !best; round++)
+    list_each(i, &g->instances, instance, n) {
+      char addr[48];
+      if (!id_eq(i->service, s->name) || i->gone || i->leaving || !i->models_known || (i->suspect && !round) || (!instance_usable(i) && !round)) continue;
+      if (i->ends_at.us && !t_past(i->ends_at, ms_from(g, 30000))) continue;
+      if (p->copy && instance_holds(i, p->model, p->adapter)) continue;
+      bool barred = false;
+      for (guint k = 0; k < not_these->len; k++) barred |= !strcmp(not_these->pdata[k], i->self.s);
+      if (barred || !holder_addr(g, i->self, addr)) continue;
+      double mb;
+      unsigned slots;
+      double cost = place_cost(i, s, p->model, p->adapter, &mb, &slots);
+      if (cost < 0) { *code = E_ROOM; continue; }
+      bool there = instance_resident(i, p->model) != NULL, warm = g_hash_table_contains(i->held_before, p->model.s);
+      if (p->copy && cost > worth) { *code = E_ROOM; continue; }
+      double load_ms = (there ? 0 : time_of(g, s, p->model, none, warm)) + (id_none(p->adapter) ? 0 : time_of(g, s, p->model, p->adapter, warm));
+      unsigned all = i->slots ? i->slots : s->engine_slots;
+      double delay = load_ms + queued_on(g, i->self) * 1500.0 + (all ? 300.0 * instance_running(i) / all : 0) + (there || warm ? 0 : 300) + (cost > 0 ? 60 : 0);
+      cost += delay * MAX(lambda, 0.3) + (double)w_draw(g->v->s.w, 10);
+      if (!best || cost < least) { best = i; least = cost; }
+    }
+  return best;
+}
+
+static void placing_free(void *p) { placing *k = p; g_free(k->key); g_free(k); }
+
+static void placing_drop(gate *g, placing *p) {
+  if (--p->held > 0) return;
+  if (g_hash_table_lookup(g->placings, p->key) == p) g_hash_table_remove(g->placings, p->key);
+  else placing_free(p);
+}
+
+/* carries one placement out: chooses an engine, and asks its holder until it is done or nobody wants it */
+static void placing_run(void *ctx) {
+  struct { gate *g; placing *p; } *a = ctx;
+  gate *g = a->g;
+  placing *p = a->p;
+  g_free(a);
+  GPtrArray *not_these = g_ptr_array_new_with_free_func(g_free);
+  int code = E_ENGINE, blanks = 0;
+  int64_t wait = 400;
+  while (!t_past(now_of(g), t_add(p->asked, t_ms(ALIVE_MS)))) {
+    const service *s = service_of(g, p->service);
+    if (!s || !service_model(s, p->model.s)) { code = E_MODEL; wait = 2000; break; }
+    if (!p->copy && instance_copies(g, s->name, p->model, p->adapter)) { code = OK; break; }
+    instance *i = id_none(p->engine) ? NULL : instance_find(g, p->engine.s);
+    char addr[48];
+    if (!i || i->gone || !holder_addr(g, i->self, addr)) i = choose(g, p, s, not_these, &code);
+    if (!i || !holder_addr(g, i->self, addr)) {
+      p->engine = none;
+      /* contracts change hands within some seconds; a fleet without room says so soon */
+      if (p->copy || ++blanks > (code == E_ROOM ? 4 : 12)) { wait = p->copy ? 3000 : 500; break; }
+      if (not_these->len) g_ptr_array_set_size(not_these, 0);
+      if (!w_nap_about(g->v->s.w, t_ms(150))) { code = E_DEAD; break; }
+      continue;
+    }
+    if (!id_eq(p->engine, i->self)) {
+      p->engine = i->self;
+      bool there = instance_resident(i, p->model) != NULL, warm = g_hash_table_contains(i->held_before, p->model.s);
+      p->due = ms_from(g, 30 + (there ? 0 : time_of(g, s, p->model, none, warm)) + (id_none(p->adapter) ? 0 : time_of(g, s, p->model, p->adapter, warm)) + (queued_on(g, i->self) - 1) * 1500.0);
+    }
+    id engine = i->self;
+    Wire__Place q = WIRE__PLACE__INIT;
+    q.engine = engine.s; q.service = p->service.s; q.model = p->model.s; q.adapter = p->adapter.s; q.priority = p->priority; q.wait = ASK_MS; q.copy = p->copy;
+    Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_PLACE, &q), *b;
+    err x = { 0 };
+    int r = site_call(&g->v->s, addr, &m, t_ms(CALL_MS), &b, &x);
+    if (r == E_DEAD) { code = r; break; }
+    if (!r && b->body_case == WIRE__ENVELOPE__BODY_PLACEBACK) { r = (int)b->placeback->code; wait = (int64_t)b->placeback->wait; }
+    else if (!r) r = E_WIRE;
+    site_done(b);
+    if (!r) {
+      code = OK;
+      i = instance_find(g, engine.s);
+      /* the holder found it elsewhere: its word comes by cast or beat */
+      if (i && !p->copy && !instance_copies(g, p->service, p->model, p->adapter) && !w_nap(g->v->s.w, t_ms(RECENT_MS))) code = E_DEAD;
+      break;
+    }
+    if (r == E_WAIT) { p->due = ms_from(g, (double)wait); continue; }
+    code = r;
+    p->engine = none;
+    if (r == E_PACE) { p->due = ms_from(g, (double)wait + 1000); if (!w_nap(g->v->s.w, t_ms(CLAMP(wait, 50, 500)))) break; continue; }
+    g_ptr_array_add(not_these, g_strdup(engine.s));
+    if (r == E_MODEL || ++blanks > 6) break;
+    if (!w_nap_about(g->v->s.w, t_ms(r == E_TIME ? 20 : 60))) break;
+  }
+  p->done = true;
+  p->code = code;
+  p->wait = wait;
+  bell_ring(&p->b);
+  g_ptr_array_free(not_these, TRUE);
+  placing_drop(g, p);
+}
+
+static int on_want(void *ctx, Wire__Envelope *in, reply *o, err *x) {
+  gate *g = ctx;
+  Wire__Want *q = in->want;
+  if (!id_fits(str_of(q->model)) || (q->adapter[0] && !id_fits(str_of(q->adapter))) || !id_fits(str_of(q->service))) return err_set(x, E_WIRE, "no such name");
+  id s = id_c(q->service), m = id_c(q->model), a = id_c(q->adapter);
+  char *key = key_of(s, m, a);
+  placing *p = g_hash_table_lookup(g->placings, key);
+  if (p && p->done) { p = NULL; }
+  if (!p) {
+    p = g_new0(placing, 1);
+    p->key = g_strdup(key);
+    p->service = s; p->model = m; p->adapter = a; p->priority = q->priority; p->copy = q->copy;
+    p->asked = now_of(g);
+    bell_init(&p->b);
+    p->held = 1;
+    placing *was = g_hash_table_lookup(g->placings, key);
+    /* one that is done and still read by somebody leaves the table and is freed by the last reader */
+    if (was) g_hash_table_steal(g->placings, key);
+    g_hash_table_insert(g->placings, p->key, p);
+    struct { gate *g; placing *p; } *t = g_malloc(sizeof *t);
+    t->g = g; t->p = p;
+    task_start(&g->v->s.w->tasks, "placing", placing_run, t);
+  }
+  g_free(key);
+  p->asked = now_of(g);
+  p->priority = MIN(p->priority, q->priority);
+  p->held++;
+  tick till = ms_from(g, (double)MIN(q->wait, ASK_MS));
+  while (!p->done) if (bell_wait(&g->v->s.w->tasks, &p->b, till) != RUNG) break;
+  Wire__WantBack *b = reply_new(o, WIRE__ENVELOPE__BODY_WANTBACK, &wire__want_back__descriptor);
+  b->up = p->done && !p->code;
+  b->code = (uint32_t)(p->done ? p->code : E_WAIT);
+  b->wait = (uint64_t)(p->done ? p->wait : ms_till(g, p->due));
+  b->engine = reply_hold(o, sizeof p->engine.s);
+  memcpy(b->engine, p->engine.s, sizeof p->engine.s);
+  placing_drop(g, p);
+  return OK;
+}
+
+/* the vane that places a service's models, by an order that all agree on; one whose call failed is passed over for a while */
+static void coordinator(gate *g, want_job *j, id *who, char addr[48]) {
+  char by[128];
+  bool few = g->nodes <= ONE_COORDINATOR, skip = !id_none(j->tried) && !t_past(now_of(g), j->tried_till);
+  snprintf(by, sizeof by, "place:%s%s%s", j->service.s, few ? "" : "/", few ? "" : j->model.s);
+  site *s = &g->v->s;
+  uint64_t top = 0;
+  *who = s->v.self;
+  g_strlcpy(addr, s->v.addr, 48);
+  if (!s->leaving && !(skip && id_eq(j->tried, *who))) top = hash_two(by, s->v.self.s);
+  list_each(m, &s->machines, machine, n) {
+    if (m->role != ROLE_VANE || m->gone || m->leaving || (skip && id_eq(j->tried, m->self))) continue;
+    uint64_t h = hash_two(by, m->self.s);
+    if (h <= top) continue;
+    top = h;
+    *who = m->self;
+    g_strlcpy(addr, m->addr, 48);
+  }
+}
+
+static bool want_alive(gate *g, want_job *j) { return !t_past(now_of(g), t_add(j->asked, t_ms(j->copy ? 4 * ALIVE_MS : ALIVE_MS))); }
+
+static void want_run(void *ctx) {
+  struct { gate *g; want_job *j; } *a = ctx;
+  gate *g = a->g;
+  want_job *j = a->j;
+  g_free(a);
+  while (want_alive(g, j)) {
+    id who;
+    char addr[48];
+    coordinator(g, j, &who, addr);
+    Wire__Want q = WIRE__WANT__INIT;
+    q.service = j->service.s; q.model = j->model.s; q.adapter = j->adapter.s; q.priority = j->priority; q.wait = ASK_MS; q.copy = j->copy;
+    Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_WANT, &q), *b;
+    err x = { 0 };
+    int r = site_call(&g->v->s, addr, &m, t_ms(CALL_MS), &b, &x);
+    if (r == E_DEAD) break;
+    int64_t wait = 300;
+    if (!r && b->body_case == WIRE__ENVELOPE__BODY_WANTBACK) {
+      r = (int)b->wantback->code;
+      wait = (int64_t)b->wantback->wait;
+      if (!r && b->wantback->engine && b->wantback->engine[0]) {
+        instance *i = instance_find(g, b->wantback->engine);
+        if (i && !j->copy && !instance_copies(g, j->service, j->model, j->adapter)) instance_loaded(i, j->model, j->adapter);
+      }
+    } else {
+      if (!r) r = E_WIRE;
+      else { j->tried = who; j->tried_till = ms_from(g, 1500); }
+    }
+    site_done(b);
+    j->code = r;
+    if (r == E_WAIT) { j->due = ms_from(g, (double)wait); continue; }
+    if (!r || (j->copy && r)) break;
+    if (r == E_ROOM || r == E_MODEL || r == E_FIT || r == E_ENGINE || r == E_ORDER) {
+      j->failed_till = ms_from(g, (double)MAX(wait, 200));
+      bell_ring(&g->moved);
+      if (!w_nap_about(g->v->s.w, t_ms(CLAMP(wait, 100, 800)))) break;
+      continue;
+    }
+    if (!w_nap_about(g->v->s.w, t_ms(50))) break;
+  }
+  /* what a coordinator thinks is there and this node does not see must not be asked for again and again */
+  if (!j->copy && !instance_copies(g, j->service, j->model, j->adapter)) w_nap(g->v->s.w, t_ms(100));
+  g_hash_table_remove(g->wants, j->key);
+  g_free(j);
+  bell_ring(&g->moved);
+}
+
+int want_model(gate *g, const service *s, id model, id adapter, unsigned priority, bool copy, double *est_ms, int64_t *wait) {
+  const svc_model *m = service_model(s, model.s);
+  *est_ms = 0;
+  *wait = 0;
+  if (!m) { *wait = 2000; return E_MODEL; }
+  char key[180];
+  snprintf(key, sizeof key, "%s/%s+%s", s->name.s, model.s, adapter.s);
+  want_job *j = g_hash_table_lookup(g->wants, key);
+  if (!j) {
+    j = g_new0(want_job, 1);
+    j->key = g_strdup(key);
+    /* where all that hold it are lost to this node, others may not have seen that yet */
+    int lost = 0;
+    list_each(i, &g->instances, instance, n) lost += !i->gone && !i->leaving && id_eq(i->service, s->name) && instance_lost(i) && instance_holds(i, model, adapter);
+    j->lost = !copy && lost && !instance_copies(g, s->name, model, adapter);
+    j->service = s->name; j->model = model; j->adapter = adapter; j->priority = priority; j->copy = copy || j->lost;
+    bool there = !id_none(adapter) && instance_copies(g, s->name, model, none) > 0;
+    bool warm = false;
+    list_each(i, &g->instances, instance, n) warm |= !i->gone && !i->leaving && id_eq(i->service, s->name) && g_hash_table_contains(i->held_before, model.s);
+    j->due = ms_from(g, 30 + (there ? 0 : time_of(g, s, model, none, warm)) + (id_none(adapter) ? 0 : time_of(g, s, model, adapter, false)));
+    j->asked = now_of(g);
+    g_hash_table_insert(g->wants, j->key, j);
+    struct { gate *g; want_job *j; } *t = g_malloc(sizeof *t);
+    t->g = g; t->j = j;
+    task_start(&g->v->s.w->tasks, "want", want_run, t);
+  }
+  j->asked = now_of(g);
+  j->priority = MIN(j->priority, priority);
+  j->copy &= copy || j->lost;
+  *est_ms = (double)MAX(20, ms_till(g, j->due));
+  if (j->failed_till.us > now_of(g).us) { *wait = ms_till(g, j->failed_till); return j->code ? j->code : E_ROOM; }
+  return OK;
+}
+
+/* rates and load times of the whole fleet */
+static int on_rates(void *ctx, Wire__Envelope *in, reply *o, err *e) {
+  gate *g = ctx;
+  (void)o; (void)e;
+  Wire__Rates *q = in->rates;
+  for (size_t i = 0; i < q->n_rates; i++) if (strlen(q->rates[i]->key) < 100) history_heard(&g->v->h, q->nonce, q->rates[i]->key, q->rates[i]->total, q->rates[i]->window);
+  for (size_t i = 0; i < q->n_timed; i++)
+    if (id_fits(str_of(q->timed[i]->type)) && strlen(q->timed[i]->key) < 130 && q->timed[i]->ms < 600000) history_timed(&g->v->h, id_c(q->timed[i]->type), q->timed[i]->key, (double)q->timed[i]->ms);
+  return OK;
+}
+
+/* only what has changed since it was last told is told */
+static void rates_run(void *p) {
+  gate *g = p;
+  vane *v = g->v;
+  for (;;) {
+    history_window_fix(&v->h, (tick){ (int64_t)((g->x.rate_window_s > 0 ? g->x.rate_window_s : 60) * 1e6) });
+    if (!w_nap_about(v->s.w, t_ms(RATES_MS))) return;
+    GPtrArray *all = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter it;
+    gpointer k, t;
+    g_hash_table_iter_init(&it, v->h.mine);
+    while (g_hash_table_iter_next(&it, &k, &t)) {
+      int64_t *told = g_hash_table_lookup(g->rates_told, k), total = (int64_t)((tally *)t)->total;
+      if (told && *told == total) continue;
+      if (!told) { told = g_new0(int64_t, 1); g_hash_table_insert(g->rates_told, g_strdup(k), told); }
+      *told = total;
+      Wire__Rate *r = g_new(Wire__Rate, 1);
+      wire__rate__init(r);
+      r->key = k;
+      r->window = history_mine(&v->h, k, &r->total);
+      g_ptr_array_add(all, r);
+    }
+    Wire__Rates q = WIRE__RATES__INIT;
+    q.nonce = v->s.nonce; q.n_rates = all->len; q.rates = (Wire__Rate **)all->pdata;
+    Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_RATES, &q);
+    if (all->len) list_each(x, &v->s.machines, machine, n) if (x->role == ROLE_VANE && !x->gone) site_cast(&v->s, x->addr, &m);
+    g_ptr_array_free(all, TRUE);
+  }
+}
+
+void loader_start(gate *g) {
+  vane *v = g->v;
+  g->placings = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, placing_free);
+  g->paces = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, pace_free);
+  g->rates_told = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  site_on(&v->s, WIRE__ENVELOPE__BODY_TICKET, on_ticket, g);
+  site_on(&v->s, WIRE__ENVELOPE__BODY_PLACE, on_place, g);
+  site_on(&v->s, WIRE__ENVELOPE__BODY_WANT, on_want, g);
+  site_on(&v->s, WIRE__ENVELOPE__BODY_RATES, on_rates, g);
+  task_start(&v->s.w->tasks, "rates", rates_run, g);
+}
+
+void loader_free(gate *g) {
+  list_each(i, &g->instances, instance, n)
+    list_each(j, &i->orders, place_job, n) { list_cut(&j->n); g_free(j); }
+  if (g->placings) g_hash_table_destroy(g->placings);
+  if (g->paces) g_hash_table_destroy(g->paces);
+  if (g->rates_told) g_hash_table_destroy(g->rates_told);
+  g->placings = g->paces = g->rates_told = NULL;
+}
--- a/lib/mast/core.c
+++ b/lib/mast/core.c
@@ -1,11 +1,10 @@
 #include "core.h"
 
-enum { LEASE_MS = 1000, LEASE_TURN_MS = 250, DEAF_MS = 1300, HEARD_MS = 700, LINK_MS = 1500, STALL_MS = 2000, LINKS = 3,
-       RECENT_MOST = 2048, PART = 256 * 1024, BATCH = 64,
-       PENDING_MOST = 3, SWEEP_MS = 2000 };
+enum { LEASE_MS = 1000, LEASE_TURN_MS = 250, LEASE_SOON_MS = 80, LEASE_SLACK_MS = 100, DEAF_MS = 1100, HEARD_MS = 600, LINK_MS = 1300, STALL_MS = 2000,
+       LONG_GONE_MS = 20000, MEND_MS = 500, RECENT_MOST = 2048, RECENT_BYTES = 2 << 20, PART = 256 * 1024, BATCH = 64, PENDING_MOST = 3, SWEEP_MS = 2000 };
 
 /* views and members as messages */
-typedef struct { Wire__View v; Wire__Member m[CHAIN_MOST + VOTERS], *c[CHAIN_MOST], *o[VOTERS]; } view_msg;
+typedef struct { Wire__View v; Wire__Member m[CHAIN_MOST + VOTERS_MOST], *c[CHAIN_MOST], *o[VOTERS_MOST]; } view_msg;
 
 static void member_out(Wire__Member *w, const member *m) {
   wire__member__init(w);
@@ -30,7 +29,7 @@
 
 static bool view_in(view *v, const Wire__View *w) {
   memset(v, 0, sizeof *v);
-  if (!w || !w->epoch || !w->fleet || !w->n_chain || w->n_chain > CHAIN_MOST || !w->n_voters || w->n_voters > VOTERS) return false;
+  if (!w || !w->epoch || !w->fleet || !w->n_chain || w->n_chain > CHAIN_MOST || !w->n_voters || w->n_voters > VOTERS_MOST) return false;
   v->epoch = w->epoch; v->fleet = w->fleet; v->links = w->n_chain; v->votes = w->n_voters;
   for (int i = 0; i < v->links; i++) if (!member_in(&v->chain[i], w->chain[i])) return false;
   for (int i = 0; i < v->votes; i++) if (!member_in(&v->voters[i], w->voters[i])) return false;
@@ -68,27 +67,65 @@
 const member *core_head(const core *c) { return c->now.links ? &c->now.chain[0] : NULL; }
 const member *core_tail(const core *c) { return c->now.links ? &c->now.chain[c->now.links - 1] : NULL; }
 
-bool view_thin(const view *v) {
-  for (int i = 1; i < v->links; i++) if (!id_eq(v->chain[i].area, v->chain[0].area)) return false;
-  return true;
+static int links_most(const core *c) { return c->s->v.members > 0 ? MIN(c->s->v.members, CHAIN_MOST) : 3; }
+
+bool view_thin(const core *c, const view *v) {
+  int copies = c->s->v.copies > 0 ? c->s->v.copies : 2, areas = c->s->v.copies > 0 ? c->s->v.copyAreas : 2, n = 0;
+  for (int i = 0; i < v->links; i++) {
+    int k = 0;
+    while (k < i && !id_eq(v->chain[i].area, v->chain[k].area)) k++;
+    n += k == i;
+  }
+  return v->links < copies || n < areas;
 }
 
 static bool wedged(const core *c) { return c->sworn.epoch == c->now.epoch + 1 && c->sworn.promised.turn > 0; }
 
+/* a voter gives leases, also to itself, only when those it may have given to machines that are no longer in the chain are over */
+static bool vouches(core *c) {
+  tick now = w_now(c->s->w);
+  if (!t_past(now, t_add(c->upAt, t_ms(LEASE_MS + LEASE_SLACK_MS)))) return false;
+  for (size_t i = 0; i < G_N_ELEMENTS(c->granted); i++) {
+    if (!c->granted[i].at.us || t_past(now, t_add(c->granted[i].at, t_ms(LEASE_MS + LEASE_SLACK_MS)))) continue;
+    bool in = false;
+    for (int k = 0; k < c->now.links; k++) in |= c->now.chain[k].disk == c->granted[i].disk;
+    if (!in) return false;
+  }
+  return true;
+}
+
+static bool grant_note(core *c, uint64_t disk) {
+  size_t at = 0;
+  for (size_t i = 0; i < G_N_ELEMENTS(c->granted); i++) {
+    if (c->granted[i].disk == disk) { at = i; break; }
+    if (c->granted[i].at.us < c->granted[at].at.us) at = i;
+  }
+  tick now = w_now(c->s->w);
+  if (c->granted[at].disk != disk && c->granted[at].at.us && !t_past(now, t_add(c->granted[at].at, t_ms(LEASE_MS + LEASE_SLACK_MS)))) return false;
+  c->granted[at].disk = disk;
+  c->granted[at].at = now;
+  return true;
+}
+
 bool core_acts(core *c) {
   tick now = w_now(c->s->w);
   if (!c->up || c->disk.broken || core_place(c) < 0 || wedged(c) || !t_past(now, c->actFrom)) return false;
   int n = 0, mine = votes_here(c);
   for (int i = 0; i < c->now.votes; i++)
-    n += i == mine || (c->leases[i].disk == c->now.voters[i].disk && c->leases[i].sent.us && !t_past(now, t_add(c->leases[i].sent, t_ms(LEASE_MS))));
-  return n > c->now.votes / 2;
+    n += i == mine ? vouches(c) : c->leases[i].disk == c->now.voters[i].disk && c->leases[i].sent.us && !t_past(now, t_add(c->leases[i].sent, t_ms(LEASE_MS)));
+  if (n <= c->now.votes / 2) return false;
+  c->acted = true;
+  /* from here on no other head can have granted anything */
+  if (!c->headFrom.us) c->headFrom = now;
+  return true;
 }
 
 bool core_heads(core *c) { return core_place(c) == 0 && core_acts(c); }
 bool core_tails(core *c) { return core_place(c) == c->now.links - 1 && c->whole && core_acts(c); }
 
-void view_json(const view *v, GString *to) {
-  json_f(to, "{\"epoch\":%" PRIu64 ",\"fleet\":\"%016" PRIx64 "\",\"thin\":%s,\"chain\":[", v->epoch, v->fleet, view_thin(v) ? "true" : "false");
+void view_json(const core *c, GString *to) {
+  const view *v = &c->now;
+  json_f(to, "{\"epoch\":%" PRIu64 ",\"fleet\":\"%016" PRIx64 "\",\"thin\":%s,\"chain\":[", v->epoch, v->fleet, view_thin(c, v) ? "true" : "false");
   for (int i = 0; i < v->links; i++)
     json_f(to, "%s{\"id\":\"%s\",\"area\":\"%s\",\"addr\":\"%s\",\"disk\":\"%016" PRIx64 "\"}", i ? "," : "", v->chain[i].self.s, v->chain[i].area.s, v->chain[i].addr, v->chain[i].disk);
   g_string_append(to, "],\"voters\":[");
@@ -142,10 +179,10 @@
   put_disk(to, c);
   if (c->now.epoch) put_view(to, &c->now);
   if (c->sworn.epoch) put_vote(to, &c->sworn);
-  GString *d = g_string_new(NULL);
-  state_pack(&c->held, c->now.epoch, d);
-  entry_put(to, ENTRY_DIGEST, d->str, d->len);
-  g_string_free(d, TRUE);
+  if (c->founders && !c->now.epoch) entry_put(to, ENTRY_FOUNDERS, c->founder, sizeof c->founder);
+  size_t at = entry_begin(to, ENTRY_DIGEST);
+  state_pack(&c->held, c->now.epoch, to);
+  entry_end(to, at);
   for (GList *l = c->recent.head; l; l = l->next) {
     record *r = l->data;
     if (r->seq > c->held.seq && r->seq <= c->last) put_record(to, r->seq, r->epoch, str_g(r->op));
@@ -158,7 +195,17 @@
   record *r = g_new0(record, 1);
   r->seq = seq; r->epoch = epoch; r->op = g_string_new_len(op.p, op.n);
   g_queue_push_tail(&c->recent, r);
-  while (c->recent.length > RECENT_MOST && ((record *)c->recent.head->data)->seq <= c->held.seq) record_free(g_queue_pop_head(&c->recent));
+  c->recentBytes += op.n;
+  while ((c->recent.length > RECENT_MOST || c->recentBytes > RECENT_BYTES) && ((record *)c->recent.head->data)->seq <= c->held.seq) {
+    record *old = g_queue_pop_head(&c->recent);
+    c->recentBytes -= old->op->len;
+    record_free(old);
+  }
+}
+
+static void recent_clear(core *c) {
+  g_queue_clear_full(&c->recent, record_free);
+  c->recentBytes = 0;
 }
 
 static void fold(void *ctx, int kind, str body) {
@@ -167,6 +214,9 @@
     uint64_t d[2];
     memcpy(d, body.p, 16);
     c->diskId = d[0]; c->whole = d[1];
+  } else if (kind == ENTRY_FOUNDERS && body.n == sizeof c->founder) {
+    memcpy(c->founder, body.p, body.n);
+    for (c->founders = 0; c->founders < 3 && c->founder[c->founders][0]; c->founders++) c->founder[c->founders][47] = 0;
   } else if (kind == ENTRY_VIEW) {
     Wire__View *w = wire__view__unpack(NULL, body.n, (const uint8_t *)body.p);
     view v;
@@ -208,31 +258,49 @@
 }
 
 static void tail_commit(core *c) {
-  if (core_place(c) == c->now.links - 1 && c->whole && !view_thin(&c->now)) commit_to(c, c->last);
+  if (core_place(c) == c->now.links - 1 && c->whole && !view_thin(c, &c->now)) commit_to(c, c->last);
+}
+
+static bool voters_same(const view *a, const view *b) {
+  for (int i = 0; i < b->votes; i++) if (place_of(a->voters, a->votes, &b->voters[i]) < 0) return false;
+  return a->votes == b->votes;
+}
+
+static bool chain_kept(const view *was, const view *now) {
+  for (int i = 0; i < was->links; i++) if (place_of(now->chain, now->links, &was->chain[i]) < 0) return false;
+  return true;
 }
 
 static void become(core *c, const view *v) {
-  bool led = core_place(c) == 0;
   tick now = w_now(c->s->w);
+  bool next = v->epoch == c->now.epoch + 1, led = next && core_place(c) == 0;
+  /* nobody who was left out can act any longer when this machine acted and nobody is left out now; and when the voters have
+     long been the same, each of them sees to it by itself */
+  bool kept = next && c->acted && chain_kept(&c->now, v);
+  if (!next || !voters_same(&c->now, v)) c->votersAt = now;
+  tick over = t_add(c->votersAt, t_ms(LEASE_MS + LEASE_SLACK_MS));
+  if (!kept && !t_past(c->actFrom, over)) c->actFrom = over;
+  if (!kept) c->acted = false;
   c->now = *v;
   c->held.fleet = c->spec.fleet = v->fleet;
-  c->actFrom = t_add(now, t_ms(LEASE_MS + 100));
+  c->mendFrom = t_add(now, t_ms(MEND_MS));
   c->wedged = c->noticed = (tick){ 0 };
   memset(c->leases, 0, sizeof c->leases);
   c->linkOk = now;
-  if (!led) { c->specOk = false; c->headFrom = c->actFrom; g_hash_table_remove_all(c->renewed); }
+  if (!led) { c->specOk = false; c->headFrom = (tick){ 0 }; g_hash_table_remove_all(c->renewed); }
   GString *g = g_string_new(NULL);
   for (int i = 0; i < v->links; i++) json_f(g, "%s%s", i ? " > " : "", v->chain[i].self.s);
-  say(&c->s->log, "core", "View %" PRIu64 ": chain %s%s.", v->epoch, g->str, view_thin(v) ? ", too thin to write" : "");
+  say(&c->s->log, "core", "View %" PRIu64 ": chain %s%s.", v->epoch, g->str, view_thin(c, v) ? ", too thin to write" : "");
   g_string_free(g, TRUE);
   tail_commit(c);
   bell_ring(&c->moved);
   bell_ring(&c->work);
+  bell_ring(&c->ask);
 }
 
 static void adopt(core *c, const Wire__View *w) {
   view v;
-  if (!w || !view_in(&v, w) || v.epoch <= c->now.epoch || c->disk.broken) return;
+  if (!w || !view_in(&v, w) || v.epoch <= c->now.epoch || v.epoch <= c->adopting || c->disk.broken) return;
   if (c->now.fleet && v.fleet != c->now.fleet) {
     say(&c->s->log, "core", "Refused view %" PRIu64 " of another fleet %016" PRIx64 " (code %d).", v.epoch, v.fleet, E_VIEW);
     return;
@@ -240,7 +308,9 @@
   GString *b = g_string_new(NULL);
   put_view(b, &v);
   err e = { 0 };
+  c->adopting = v.epoch;
   int r = store_add_all(&c->disk, str_g(b), &e);
+  if (c->adopting == v.epoch) c->adopting = 0;
   g_string_free(b, TRUE);
   if (!r && v.epoch > c->now.epoch) become(c, &v);
 }
@@ -272,7 +342,7 @@
   if (r) { state_free(&t); return r; }
   state_free(&c->held);
   c->held = t;
-  g_queue_clear_full(&c->recent, record_free);
+  recent_clear(c);
   c->last = t.seq;
   c->whole = false;
   c->specOk = false;
@@ -290,11 +360,15 @@
     c->fetchSeq = c->held.seq;
   }
   if ((off && in->fetch->seq != c->fetchSeq) || off >= c->fetchText->len) return err_set(e, E_WIRE, "no such part");
-  /* the reply is packed before this task runs again, so it may point into the text */
   Wire__FetchBack *b = reply_new(out, WIRE__ENVELOPE__BODY_FETCHBACK, &wire__fetch_back__descriptor);
   b->seq = c->fetchSeq; b->size = c->fetchText->len; b->off = off;
   b->bytes.len = MIN((size_t)PART, c->fetchText->len - off);
-  b->bytes.data = (uint8_t *)c->fetchText->str + off;
+  b->bytes.data = reply_hold(out, b->bytes.len + 1);
+  memcpy(b->bytes.data, c->fetchText->str + off, b->bytes.len);
+  if (off + b->bytes.len == c->fetchText->len && c->fetchText->len > PART) {
+    g_string_free(c->fetchText, TRUE);
+    c->fetchText = g_string_new(NULL);
+  }
   return OK;
 }
 
@@ -302,7 +376,7 @@
   core *c = ctx;
   Wire__Put *p = in->put;
   if (!c->up) return err_set(e, E_CORE, "starting");
-  if (c->disk.broken) return err_set(e, E_DISK, "the disk of this machine failed");
+  if (c->disk.broken) return err_set(e, E_DISK, "the disk of this machine refuses writes");
   if (p->epoch != c->now.epoch) return err_set(e, E_VIEW, "another view is known here: %" PRIu64, c->now.epoch);
   if (wedged(c)) return err_set(e, E_EPOCH, "a vote on the next view is under way");
   int at = core_place(c);
@@ -384,11 +458,11 @@
     g_strlcpy(addr, c->now.chain[at + 1].addr, sizeof addr);
     Wire__Record rec[BATCH], *recs[BATCH];
     Wire__Put put = WIRE__PUT__INIT;
-    size_t bytes = 0, n = 0;
+    size_t bytes = 0, n = 0, most = MIN((size_t)PART, c->disk.size / 8);
     if (know && theirs < c->last) {
       record *low = c->recent.head ? c->recent.head->data : NULL;
       if (!low || low->seq > theirs + 1) digest = true;
-      for (GList *l = c->recent.head; l && !digest && n < BATCH && bytes < PART; l = l->next) {
+      for (GList *l = c->recent.head; l && !digest && n < BATCH && bytes < most; l = l->next) {
         record *r = l->data;
         if (r->seq <= theirs || r->seq > c->last) continue;
         wire__record__init(&rec[n]);
@@ -406,7 +480,7 @@
     Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_PUT, &put);
     Wire__Envelope *b;
     err e = { 0 };
-    int r = site_call(c->s, addr, &m, t_ms(digest ? 4000 : 1200), &b, &e);
+    int r = site_call(c->s, addr, &m, t_ms(digest ? 4000 : 1000), &b, &e);
     digest = false;
     if (r == E_DEAD) return;
     if (r) {
@@ -437,18 +511,26 @@
   return &c->spec;
 }
 
+/* what a ring file can take beside the state and the writes that wait for the tail */
+static size_t room_for(const core *c) {
+  size_t used = state_size(&c->spec) + MIN((size_t)PART, c->disk.size / 8);
+  for (GList *l = c->recent.tail; l && ((record *)l->data)->seq > c->held.seq; l = l->prev) used += ((record *)l->data)->op->len + 64;
+  return used < c->disk.size ? c->disk.size - used : 0;
+}
+
 int core_write(core *c, core_make make, void *ctx, tick span, uint64_t *seq, err *e) {
   world *w = c->s->w;
   tick till = t_add(w_now(w), span);
   if (!take_room(c, till)) return err_set(e, E_CORE, "the head is busy; nothing was written");
   int r = OK;
   if (!core_heads(c)) r = err_set(e, E_CORE, "this machine is not the acting head");
-  else if (view_thin(&c->now)) r = err_set(e, E_THIN, "the chain spans fewer than two areas; nothing was written");
+  else if (view_thin(c, &c->now)) r = err_set(e, E_THIN, "the chain has too few copies or areas; nothing was written");
   else if (c->last - c->held.seq > PENDING_MOST) r = err_set(e, E_BUSY, "too many writes wait for the tail; nothing was written");
   GString *op = g_string_new(NULL), *b = g_string_new(NULL);
   if (!r) core_ordered(c);
   if (!r) r = make(ctx, &c->spec, op, e);
   uint64_t gen = c->resets, n = c->last + 1, epoch = c->now.epoch;
+  if (!r && op->len && room_for(c) < op->len) r = err_set(e, E_FULL, "a write of %zu bytes does not fit into a ring file any more; nothing was written", op->len);
   if (!r && op->len) {
     put_record(b, n, epoch, str_g(op));
     r = store_add_all(&c->disk, str_g(b), e);
@@ -468,18 +550,36 @@
   give_room(c);
   if (!wrote) return r;
   while (c->held.seq < n && gen == c->resets) if (bell_wait(&w->tasks, &c->moved, till) != RUNG) break;
-  if (gen != c->resets || c->held.seq < n || !core_acts(c) || view_thin(&c->now))
+  if (gen != c->resets || c->held.seq < n || !core_acts(c) || view_thin(c, &c->now))
     return err_set(e, E_UNSURE, "the tail has not confirmed write %" PRIu64 "; the outcome is not known", n);
   return OK;
 }
 
+/* founders are known by their names or by their addresses; the first of them proposes */
+static bool by_name(const core *c) { return !id_none(c->s->v.founders[0]); }
+
+static const char *first_founder(const core *c) {
+  const char *low = NULL;
+  for (int i = 0; i < c->founders; i++) if (!low || strcmp(c->founder[i], low) < 0) low = c->founder[i];
+  return low;
+}
+
+static bool founds(const core *c) {
+  for (int i = 0; i < 3 && by_name(c); i++) if (id_eq(c->s->v.founders[i], c->s->v.self)) return true;
+  for (int i = 0; i < c->founders && !by_name(c); i++) if (!strcmp(c->founder[i], c->s->v.addr)) return true;
+  return false;
+}
+
+static bool is_first(const core *c, const char *name, const char *addr) {
+  if (by_name(c)) return !strcmp(c->s->v.founders[0].s, name);
+  return c->founders && !strcmp(first_founder(c), addr);
+}
+
 /* the vote on a view */
-static bool may_vote(core *c, uint64_t epoch, const char *from) {
+static bool may_vote(core *c, uint64_t epoch, const Wire__Node *from) {
   if (!c->up || c->disk.broken) return false;
   if (c->now.epoch) return votes_here(c) >= 0;
-  if (epoch != 1 || strcmp(from, c->s->v.founders[0].s)) return false;
-  for (int i = 0; i < 3; i++) if (id_eq(c->s->v.founders[i], c->s->v.self)) return true;
-  return false;
+  return epoch == 1 && founds(c) && is_first(c, from->id, from->addr);
 }
 
 static int swear(core *c, err *e) {
@@ -537,7 +637,7 @@
   Wire__Promise *p = in->promise;
   tick now = w_now(c->s->w);
   if (!p->ballot) return err_set(e, E_WIRE, "no ballot");
-  if (!may_vote(c, p->epoch, in->from->id)) return err_set(e, E_VIEW, "no voter");
+  if (!may_vote(c, p->epoch, in->from)) return err_set(e, E_VIEW, "no voter");
   Wire__PromiseBack *b = reply_new(out, WIRE__ENVELOPE__BODY_PROMISEBACK, &wire__promise_back__descriptor);
   b->whole = c->whole;
   b->self = self_held(out, c);
@@ -568,7 +668,7 @@
   Wire__Accept *a = in->accept;
   view v;
   if (!a->ballot || !view_in(&v, a->view) || v.epoch != a->epoch) return err_set(e, E_WIRE, "no view");
-  if (!may_vote(c, a->epoch, in->from->id)) return err_set(e, E_VIEW, "no voter");
+  if (!may_vote(c, a->epoch, in->from)) return err_set(e, E_VIEW, "no voter");
   Wire__AcceptBack *b = reply_new(out, WIRE__ENVELOPE__BODY_ACCEPTBACK, &wire__accept_back__descriptor);
   if (a->epoch <= c->now.epoch) { b->newer = view_held(out, &c->now); return OK; }
   if (a->epoch != c->now.epoch + 1) return OK;
@@ -599,7 +699,10 @@
   note_mute(c, who.self, l->deaf);
   if (l->epoch < c->now.epoch) b->newer = view_held(out, &c->now);
   else if (l->epoch > c->now.epoch) b->behind = true;
-  else b->ok = !wedged(c) && votes_here(c) >= 0 && place_of(c->now.chain, c->now.links, &who) >= 0;
+  else if (place_of(c->now.chain, c->now.links, &who) < 0) {
+    /* it knows that it was left out, so what it was given in an older view is void */
+    for (size_t i = 0; i < G_N_ELEMENTS(c->granted); i++) if (c->granted[i].disk == l->disk) c->granted[i].at = (tick){ 0 };
+  } else b->ok = !wedged(c) && votes_here(c) >= 0 && vouches(c) && grant_note(c, l->disk);
   return OK;
 }
 
@@ -612,8 +715,12 @@
   g_free(a);
   member last = { 0 };
   tick heard = { 0 };
-  while (w_nap(c->s->w, t_ms(LEASE_TURN_MS))) {
-    if (i >= c->now.votes || i == votes_here(c) || core_place(c) < 0) { heard = w_now(c->s->w); continue; }
+  uint64_t told = 0;
+  bool got = false;
+  while (bell_wait(&c->s->w->tasks, &c->ask, t_add(w_now(c->s->w), t_ms(got ? LEASE_TURN_MS : LEASE_SOON_MS))) != DEAD) {
+    bool out = core_place(c) < 0;
+    got = true;
+    if (i >= c->now.votes || i == votes_here(c) || !c->now.epoch || (out && told == c->now.epoch)) { heard = w_now(c->s->w); continue; }
     member who = c->now.voters[i];
     if (!same(&who, &last)) { last = who; heard = w_now(c->s->w); }
     uint64_t epoch = c->now.epoch;
@@ -625,11 +732,15 @@
     err e = { 0 };
     int r = site_call(c->s, who.addr, &m, t_ms(600), &b, &e);
     if (r != E_TIME) heard = w_now(c->s->w);
+    got = !r && epoch == c->now.epoch;
     if (r) continue;
     if (b->body_case == WIRE__ENVELOPE__BODY_LEASEBACK) {
-      if (b->leaseback->ok && epoch == c->now.epoch && i < c->now.votes && same(&who, &c->now.voters[i])) {
+      got &= b->leaseback->ok || out;
+      if (out) told = epoch;
+      else if (b->leaseback->ok && epoch == c->now.epoch && i < c->now.votes && same(&who, &c->now.voters[i])) {
         c->leases[i].disk = who.disk;
         c->leases[i].sent = sent;
+        core_acts(c);
       }
       if (b->leaseback->behind) tell(c, who.addr);
       adopt(c, b->leaseback->newer);
@@ -639,12 +750,12 @@
 }
 
 /* one message to several, at once */
-typedef struct fan { site *s; int left, kids; bool over; bell b; GBytes *text; tick span; Wire__Envelope *back[VOTERS]; char addr[VOTERS][48]; } fan;
+typedef struct fan { site *s; int left, kids; bool over; bell b; GBytes *text; tick span; Wire__Envelope *back[VOTERS_MOST]; char addr[VOTERS_MOST][48]; } fan;
 typedef struct { fan *f; int i; } fan_arg;
 
 static void fan_drop(fan *f) {
   if (--f->kids) return;
-  for (int i = 0; i < VOTERS; i++) site_done(f->back[i]);
+  for (int i = 0; i < VOTERS_MOST; i++) site_done(f->back[i]);
   g_bytes_unref(f->text);
   g_free(f);
 }
@@ -723,7 +834,7 @@
   tick till = t_add(w_now(w), t_ms(1500));
   fan *f = fan_out(c->s, asked.voters, asked.votes, &m, t_ms(1500));
   int ok;
-  bool head = false, seen[VOTERS] = { false };
+  bool head = false, seen[VOTERS_MOST] = { false };
   ballot took = { 0 };
   view use = *value;
   bool moved = value->links && c->now.links && !same(&value->chain[0], &c->now.chain[0]);
@@ -742,7 +853,7 @@
       seen[i] = true;
       view v;
       if (k->took && k->view && view_in(&v, k->view) && ballot_cmp(took, k->took) < 0) {
-        if (!c->now.epoch && (place_of(v.voters, v.votes, &value->voters[0]) < 0 || place_of(v.voters, v.votes, &value->voters[1]) < 0 || place_of(v.voters, v.votes, &value->voters[2]) < 0)) continue;
+        if (!c->now.epoch && !voters_same(&v, value)) continue;
         took = ballot_in(k->took);
         use = v;
       }
@@ -771,20 +882,49 @@
   return true;
 }
 
-static bool deaf(core *c, const member *m) {
+static bool silent(core *c, const member *m, int ms) {
   if (id_eq(m->self, c->s->v.self)) return m->disk != c->diskId;
   machine *k = site_find(c->s, m->self);
   tick now = w_now(c->s->w);
-  if (!k) return t_past(now, t_add(c->upAt, t_ms(3 * DEAF_MS)));
-  return k->leaving || mute_to(c, k->self) || t_past(now, t_add(k->heard, t_ms(DEAF_MS)));
+  return t_past(now, t_add(k ? k->heard : t_add(c->upAt, t_ms(2 * DEAF_MS)), t_ms(ms)));
+}
+
+static bool deaf(core *c, const member *m) {
+  machine *k = id_eq(m->self, c->s->v.self) ? NULL : site_find(c->s, m->self);
+  return (k && (k->leaving || mute_to(c, k->self))) || silent(c, m, DEAF_MS);
+}
+
+/* gives the votes of machines that are out of the chain to those in it, and keeps their number odd */
+static bool revote(core *c, view *v) {
+  bool change = false;
+  int odd = (MIN(v->links, links_most(c)) - 1) / 2 * 2 + 1, spare = 0;
+  const member *may[CHAIN_MOST];
+  for (int i = 0; i < v->links; i++) if (place_of(v->voters, v->votes, &v->chain[i]) < 0) may[spare++] = &v->chain[i];
+  for (int turn = 0; turn < 2; turn++)
+    for (int i = 0; i < v->votes && spare; i++) {
+      if (place_of(v->chain, v->links, &v->voters[i]) >= 0) continue;
+      /* first those whose disk is gone for good: its machine has come back with another */
+      bool gone = false;
+      for (int k = 0; k < v->links; k++) gone |= id_eq(v->chain[k].self, v->voters[i].self);
+      if (!gone && !turn) continue;
+      v->voters[i] = *may[--spare];
+      change = true;
+    }
+  if (v->votes < odd && v->votes + spare >= odd)
+    for (; v->votes < odd; change = true) v->voters[v->votes++] = *may[--spare];
+  int lost = 0, due = v->votes % 2 ? 2 : 1;
+  for (int i = 0; i < v->votes; i++) lost += place_of(v->chain, v->links, &v->voters[i]) < 0 && silent(c, &v->voters[i], LONG_GONE_MS);
+  for (int i = 0; i < v->votes && v->votes > 3 && lost >= due && due; i++)
+    if (place_of(v->chain, v->links, &v->voters[i]) < 0 && silent(c, &v->voters[i], LONG_GONE_MS)) { v->voters[i--] = v->voters[--v->votes]; due--; change = true; lost--; }
+  return change;
 }
 
 /* looks after the view: drops the silent, takes in those who have caught up, ends a vote that hangs */
 static void mend(core *c) {
   world *w = c->s->w;
   tick now = w_now(w);
-  int mine = votes_here(c), at = core_place(c);
-  if (mine < 0 || !t_past(now, t_add(c->actFrom, t_ms(200)))) return;
+  int mine = votes_here(c), at = core_place(c), rank = 0;
+  if (mine < 0 || !t_past(now, c->mendFrom)) return;
   view v = c->now;
   v.epoch++;
   v.links = 0;
@@ -802,22 +942,21 @@
     else v.chain[v.links++] = *m;
   }
   for (size_t k = 0; k < G_N_ELEMENTS(c->callers); k++) {
-    if (!c->callers[k].at.us || t_past(now, t_add(c->callers[k].at, t_ms(1500))) || v.links >= LINKS) continue;
+    if (!c->callers[k].at.us || t_past(now, t_add(c->callers[k].at, t_ms(1500))) || v.links >= links_most(c)) continue;
     member *m = &c->callers[k].who;
     bool there = false;
     for (int i = 0; i < v.links; i++) there |= id_eq(v.chain[i].self, m->self);
     if (there || !v.links) continue;
     v.chain[v.links++] = *m;
     change = true;
-    if (place_of(v.voters, v.votes, m) >= 0) continue;
-    if (v.votes < VOTERS) { v.voters[v.votes++] = *m; continue; }
-    for (int i = 0; i < v.votes; i++)
-      if (place_of(v.chain, v.links, &v.voters[i]) < 0) { v.voters[i] = *m; break; }
   }
+  /* a view that leaves somebody out keeps its voters, so that the others may act at once */
+  if (!drops && v.links) change |= revote(c, &v);
   bool stuck = wedged(c) && t_past(now, t_add(c->wedged, t_ms(900)));
   if ((!change && !stuck) || !v.links) { c->noticed = (tick){ 0 }; return; }
   if (!c->noticed.us) c->noticed = now;
-  if (!t_past(now, t_add(c->noticed, t_ms(mine * 250))) || !t_past(now, t_add(c->tried, t_ms(700 + (int)w_draw(w, 300))))) return;
+  for (int i = 0; i < mine; i++) rank += !deaf(c, &c->now.voters[i]);
+  if (!t_past(now, t_add(c->noticed, t_ms(rank * 250))) || !t_past(now, t_add(c->tried, t_ms(500 + (int)w_draw(w, 300))))) return;
   c->tried = now;
   id lost = id_c(drops ? drop[0] : "");
   if (propose(c, &v, drop, drops, broken)) say(&c->s->log, "core", "Mended the chain%s%s.", drops ? ", without " : "", lost.s);
@@ -828,10 +967,11 @@
   while (w_nap(c->s->w, t_ms(100))) {
     bool stall = c->disk.asked > c->disk.done && c->busyFrom.us && t_past(w_now(c->s->w), t_add(c->busyFrom, t_ms(STALL_MS)));
     if (c->disk.asked == c->disk.done) c->busyFrom = (tick){ 0 };
-    else if (!c->busyFrom.us) c->busyFrom = w_now(c->s->w);
+    else if (!c->busyFrom.us || c->doneSeen != c->disk.done) c->busyFrom = w_now(c->s->w);
+    c->doneSeen = c->disk.done;
     bool quit = c->disk.broken || stall || c->drain;
     if (quit != c->s->leaving) {
-      if (quit) say(&c->s->log, "core", "%s; this machine steps out of the chain.", c->disk.broken ? "The disk failed" : stall ? "The disk stalls" : "Asked to stop");
+      if (quit) say(&c->s->log, "core", "%s; this machine steps out of the chain.", c->disk.broken ? "The disk refuses writes" : stall ? "The disk stalls" : "Asked to stop");
       c->s->leaving = quit;
     }
     if (c->now.epoch) mend(c);
@@ -841,11 +981,10 @@
 /* coming in: founding a fleet, or catching up with one */
 static int on_found(void *ctx, Wire__Envelope *in, reply *out, err *e) {
   core *c = ctx;
-  (void)in;
   if (!c->up) return err_set(e, E_CORE, "starting");
   Wire__FoundBack *b = reply_new(out, WIRE__ENVELOPE__BODY_FOUNDBACK, &wire__found_back__descriptor);
   b->self = self_held(out, c);
-  b->blank = !c->now.epoch;
+  b->blank = !c->now.epoch && !c->disk.broken && founds(c) && is_first(c, in->from->id, in->from->addr);
   b->disk = c->diskId;
   if (c->now.epoch) b->view = view_held(out, &c->now);
   return OK;
@@ -888,27 +1027,39 @@
 }
 
 static void found(core *c) {
-  id *f = c->s->v.founders;
-  if (id_none(f[0]) || !id_eq(f[0], c->s->v.self)) return;
-  view v = { .epoch = 1, .fleet = c->sworn.has ? c->sworn.value.fleet : c->s->w->draw(c->s->w) | 1, .links = 1, .votes = 3 };
+  if (!founds(c) || !is_first(c, c->s->v.self.s, c->s->v.addr)) return;
+  int n = by_name(c) ? 3 : c->founders;
+  view v = { .epoch = 1, .fleet = c->sworn.has ? c->sworn.value.fleet : c->s->w->draw(c->s->w) | 1, .links = 1, .votes = 1 };
   v.chain[0] = v.voters[0] = me(c);
-  for (int i = 1; i < 3; i++) {
-    machine *k = site_find(c->s, f[i]);
-    if (!k || k->gone) return;
-    char addr[48];
-    g_strlcpy(addr, k->addr, sizeof addr);
+  for (int i = 0; i < n; i++) {
+    char addr[48] = "";
+    if (by_name(c)) {
+      machine *k = site_find(c->s, c->s->v.founders[i]);
+      if (id_eq(c->s->v.founders[i], c->s->v.self)) continue;
+      if (!k || k->gone) return;
+      g_strlcpy(addr, k->addr, sizeof addr);
+    } else {
+      g_strlcpy(addr, c->founder[i], sizeof addr);
+      if (!strcmp(addr, c->s->v.addr)) continue;
+    }
     Wire__Found q = WIRE__FOUND__INIT;
     q.id = c->s->v.self.s; q.disk = c->diskId; q.blank = true;
     Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_FOUND, &q);
     Wire__Envelope *b;
     err e = { 0 };
     if (site_call(c->s, addr, &m, t_ms(600), &b, &e)) return;
-    bool ok = b->body_case == WIRE__ENVELOPE__BODY_FOUNDBACK && b->foundback->blank && member_in(&v.voters[i], b->foundback->self) && id_eq(v.voters[i].self, f[i]);
+    member *new = &v.chain[v.links];
+    bool ok = b->body_case == WIRE__ENVELOPE__BODY_FOUNDBACK && b->foundback->blank && member_in(new, b->foundback->self);
+    ok = ok && (by_name(c) ? id_eq(new->self, c->s->v.founders[i]) : !strcmp(new->addr, addr)) && place_of(v.chain, v.links, new) < 0;
     if (b->body_case == WIRE__ENVELOPE__BODY_FOUNDBACK && b->foundback->view) adopt(c, b->foundback->view);
     site_done(b);
     if (!ok || c->now.epoch) return;
-    v.chain[v.links++] = v.voters[i];
+    v.links++;
   }
+  /* two voters would be worse than one */
+  v.votes = v.links == 3 ? 3 : 1;
+  memcpy(v.voters, v.chain, sizeof v.chain[0] * v.votes);
+  v.links = MIN(v.links, links_most(c));
   if (propose(c, &v, NULL, 0, false)) say(&c->s->log, "core", "Founded fleet %016" PRIx64 ".", v.fleet);
 }
 
@@ -925,7 +1076,7 @@
     if (addr[0] && strcmp(addr, c->s->v.addr)) enrol(c, addr, false);
     if (!c->now.epoch) { found(c); continue; }
     if (core_place(c) >= 0) continue;
-    if (c->now.links >= LINKS) {
+    if (c->now.links >= links_most(c)) {
       bool mine = false;
       for (int i = 0; i < c->now.links; i++) mine |= id_eq(c->now.chain[i].self, c->s->v.self);
       if (!mine) continue;
@@ -956,7 +1107,7 @@
   g_queue_init(&c->recent);
   c->renewed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   c->fetchText = g_string_new(NULL);
-  bell_init(&c->moved); bell_init(&c->work); bell_init(&c->room);
+  bell_init(&c->moved); bell_init(&c->work); bell_init(&c->room); bell_init(&c->ask);
   c->disk.fold = fold; c->disk.base = base; c->disk.ctx = c;
   const struct { int k; site_hand fn; } on[] = {
     { WIRE__ENVELOPE__BODY_FETCH, on_fetch }, { WIRE__ENVELOPE__BODY_PUT, on_put }, { WIRE__ENVELOPE__BODY_PROMISE, on_promise },
@@ -965,7 +1116,13 @@
   for (size_t i = 0; i < G_N_ELEMENTS(on); i++) site_on(s, on[i].k, on[i].fn, c);
   enum found what;
   size_t size = s->v.fileBytes ? s->v.fileBytes : 16 << 20;
-  int r = store_open(&c->disk, s, size, &what, e);
+  int r;
+  bool told = false;
+  while ((r = store_open(&c->disk, s, size, &what, e)) == E_FULL || r == E_SYNC) {
+    if (!told) say(&s->log, "store", "The disk refuses to be opened: %s (code %d).", e->text, r);
+    told = true;
+    if (!w_nap(s->w, t_ms(500))) return E_DEAD;
+  }
   if (r) return r;
   if (what == FOUND_BAD) say(&s->log, "store", "A record before the end is bad (code %d); this disk starts anew and is mended from the others.", E_BAD);
   if (what != FOUND_SOUND || !c->diskId) {
@@ -973,25 +1130,35 @@
     state_init(&c->held);
     memset(&c->now, 0, sizeof c->now);
     memset(&c->sworn, 0, sizeof c->sworn);
-    g_queue_clear_full(&c->recent, record_free);
+    recent_clear(c);
     c->last = 0;
+    c->founders = 0;
     c->whole = true;
     c->diskId = s->w->draw(s->w) | 1;
     what = FOUND_BLANK;
   }
+  if (s->v.founderCount > 0 && !c->now.epoch) {
+    memset(c->founder, 0, sizeof c->founder);
+    c->founders = 0;
+    for (int i = 0; i < MIN(s->v.founderCount, 3); i++) {
+      bool twice = false;
+      for (int k = 0; k < c->founders; k++) twice |= !strcmp(c->founder[k], s->v.founderAddrs[i]);
+      if (!twice) g_strlcpy(c->founder[c->founders++], s->v.founderAddrs[i], sizeof c->founder[0]);
+    }
+  }
   r = store_start(&c->disk, what == FOUND_BLANK, e);
   if (r) return r;
   c->up = true;
-  c->actFrom = t_add(w_now(s->w), t_ms(LEASE_MS + 100));
-  c->linkOk = c->upAt = w_now(s->w);
-  c->headFrom = c->actFrom;
+  c->linkOk = c->upAt = c->votersAt = w_now(s->w);
+  c->actFrom = t_add(c->upAt, t_ms(LEASE_MS + LEASE_SLACK_MS));
+  c->mendFrom = t_add(c->actFrom, t_ms(200));
   if (wedged(c)) c->wedged = w_now(s->w);
   say(&s->log, "core", "Disk %016" PRIx64 " is %s, at write %" PRIu64 ", view %" PRIu64 ".", c->diskId, what == FOUND_BLANK ? "blank" : "sound", c->last, c->now.epoch);
   if (c->now.epoch) { c->held.fleet = c->now.fleet; tail_commit(c); }
   task_start(&s->w->tasks, "link", link_run, c);
   task_start(&s->w->tasks, "mend", mend_run, c);
   task_start(&s->w->tasks, "join", join_run, c);
-  for (int i = 0; i < VOTERS; i++) {
+  for (int i = 0; i < VOTERS_MOST; i++) {
     lease_arg *a = g_new(lease_arg, 1);
     *a = (lease_arg){ c, i };
     task_start(&s->w->tasks, "lease", lease_run, a);
--- a/lib/mast/core.h
+++ b/lib/mast/core.h
@@ -3,11 +3,11 @@
 #include "state.h"
 #include "store.h"
 
-enum { CHAIN_MOST = 5, VOTERS = 3 };
+enum { CHAIN_MOST = 5, VOTERS_MOST = 5 };
 /** A machine of the core under one disk; a new disk makes a new member. */
 typedef struct member { id self, area; char addr[48]; uint64_t disk; } member;
 /** What the core has agreed on: the order of the chain and who votes on the next view. */
-typedef struct view { uint64_t epoch, fleet; member chain[CHAIN_MOST], voters[VOTERS]; int links, votes; } view;
+typedef struct view { uint64_t epoch, fleet; member chain[CHAIN_MOST], voters[VOTERS_MOST]; int links, votes; } view;
 typedef struct ballot { uint64_t turn; id by; } ballot;
 /** What a voter has sworn for the view after the one it knows. */
 typedef struct vote { uint64_t epoch; ballot promised, took; view value; bool has; } vote;
@@ -18,19 +18,23 @@
 typedef struct core {
   site *s;
   store disk;
-  bool up, whole, specOk, busy, drain;
+  bool up, whole, specOk, busy, drain, acted;
   uint64_t diskId;
   view now;
   vote sworn;
   state held, spec;
   GQueue recent;
-  uint64_t last, resets, turns;
-  tick actFrom, wedged, headFrom, linkOk, tried, noticed, busyFrom, upAt, swept;
-  struct { uint64_t disk; tick sent; } leases[VOTERS];
-  struct { member who; tick at; } callers[4];
+  size_t recentBytes;
+  uint64_t last, resets, turns, adopting, doneSeen;
+  tick actFrom, votersAt, mendFrom, wedged, headFrom, linkOk, tried, noticed, busyFrom, upAt, swept;
+  struct { uint64_t disk; tick sent; } leases[VOTERS_MOST];
+  struct { uint64_t disk; tick at; } granted[2 * CHAIN_MOST];
+  struct { member who; tick at; } callers[2 * CHAIN_MOST];
   struct { id who; tick at; } mutes[CHAIN_MOST];
   GHashTable *renewed;
-  bell moved, work, room;
+  bell moved, work, room, ask;
+  int founders;
+  char founder[3][48];
   uint64_t fetchSeq;
   GString *fetchText;
 } core;
@@ -48,8 +52,8 @@
 bool core_acts(core *c);
 bool core_heads(core *c);
 bool core_tails(core *c);
-/** True when the chain spans fewer than two areas. */
-bool view_thin(const view *v);
+/** True when the chain of a view has too few copies, or spans too few areas, to take writes. */
+bool view_thin(const core *c, const view *v);
 /** The state with all that is ordered here, whether the tail has it yet or not. */
 const state *core_ordered(core *c);
 /** Makes an op under the head's lock, orders it, and waits until the tail has it. Blank op: nothing to do. */
@@ -57,6 +61,6 @@
 /** The member at the head or the tail that this machine knows of; NULL when there is none. */
 const member *core_head(const core *c);
 const member *core_tail(const core *c);
-/** The view as JSON. */
-void view_json(const view *v, GString *to);
+/** The view that this machine knows, as JSON. */
+void view_json(const core *c, GString *to);
 #endif
--- a/lib/mast/mast.c
+++ b/lib/mast/mast.c
@@ -2,6 +2,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+enum { POLL_MS = 500, POLL_LOOSE_MS = 1000, OUT_MS = 3500, LINGER_MS = 1500 };
+
 /* duties: who may order what, granted by the chain, renewed in memory */
 typedef struct { mast *m; Wire__Holds *in; id who; uint64_t nonce; Wire__HoldsBack *out; reply *o; int n; } holds_ctx;
 
@@ -118,20 +120,33 @@
 static int on_news(void *ctx, Wire__Envelope *in, reply *o, err *e) {
   mast *m = ctx;
   core *c = &m->c;
-  if (!c->up || !c->now.epoch || core_place(c) < 0 || !c->whole) return err_set(e, E_CORE, "no state is known here");
-  if (in->news->fleet && in->news->fleet != c->now.fleet) return err_set(e, E_VIEW, "another fleet");
+  Wire__News *q = in->news;
+  bool engines = q->engines && m->hasControl, knows = c->up && c->now.epoch && core_place(c) >= 0 && c->whole;
+  if (!engines && !knows) return err_set(e, E_CORE, "no state is known here");
+  if (q->fleet && c->now.epoch && q->fleet != c->now.fleet) {
+    if (!engines) return err_set(e, E_VIEW, "another fleet");
+    knows = false;
+  }
   /* a read that knows more than this copy mends it at once */
-  if (in->news->seq > c->held.seq) bell_ring(&c->work);
-  tick till = t_add(w_now(m->s.w), t_ms(500));
-  while (c->held.seq <= in->news->seq && in->news->seq) if (bell_wait(&m->s.w->tasks, &c->moved, till) != RUNG) break;
+  if (knows && q->seq > c->held.seq) bell_ring(&c->work);
+  tick till = t_add(w_now(m->s.w), t_ms(m->s.v.loose ? POLL_LOOSE_MS : POLL_MS));
+  while (knows && c->held.seq <= q->seq && q->seq && !(engines && engines_news(m, q)))
+    if (bell_wait(&m->s.w->tasks, &c->moved, till) != RUNG) break;
   Wire__NewsBack *b = reply_new(o, WIRE__ENVELOPE__BODY_NEWSBACK, &wire__news_back__descriptor);
+  if (engines) engines_fill(m, q, b, o);
+  if (!knows) {
+    /* whoever asks here for the state is told where it is */
+    b->core = reply_hold(o, sizeof(char *) * CHAIN_MOST);
+    for (int i = 0; c->up && i < c->now.links; i++) if (!id_eq(c->now.chain[i].self, m->s.v.self)) b->core[b->n_core++] = held(o, c->now.chain[i].addr);
+    return OK;
+  }
   b->fresh = core_acts(c);
   b->epoch = c->now.epoch;
   b->seq = c->held.seq;
-  b->news = c->held.seq > in->news->seq || !in->news->seq;
+  b->news = c->held.seq > q->seq || !q->seq;
   if (b->news) {
     GString *d = g_string_new(NULL);
-    state_news(&c->held, c->now.epoch, in->news->held, in->news->n_held, d);
+    state_news(&c->held, c->now.epoch, q->held, q->n_held, d);
     b->digest.len = d->len;
     b->digest.data = reply_hold(o, d->len + 1);
     memcpy(b->digest.data, d->str, d->len);
@@ -155,7 +170,7 @@
 }
 
 /* half of the vanes that are known, gone ones too: more than half serve without the core, so one of these is among them */
-static bool had(mast *m, uint64_t seq, int *got, int *all) {
+bool mast_had(mast *m, uint64_t seq, int *got, int *all) {
   *got = 0;
   *all = site_known(&m->s, ROLE_VANE);
   list_each(k, &m->s.machines, machine, n) {
@@ -168,6 +183,15 @@
 /* the operators' API */
 typedef struct { mast *m; int which; ask *a; uint64_t match, seen, hash; bool any, dup; const char *key; } write_ctx;
 
+static int routing_fits(str text, err *e) {
+  json *j = json_read(text, e);
+  routing *made = j && json_count(j) ? routing_make(j, e) : NULL;
+  int r = j && (made || !json_count(j)) ? OK : e->code;
+  routing_unref(made);
+  json_free(j);
+  return r;
+}
+
 static int write_make(void *ctx, state *spec, GString *op, err *e) {
   write_ctx *x = ctx;
   const once *o = x->key ? state_once(spec, x->key) : NULL;
@@ -197,6 +221,7 @@
   config *c = r ? NULL : state_config(spec, x->which, &t, e);
   if (!r && !c) r = e->code;
   config_free(c);
+  if (!r && x->which == RES_ROUTING) r = routing_fits(t, e);
   if (!r) {
     Wire__Res res = WIRE__RES__INIT;
     Wire__Op w = WIRE__OP__INIT;
@@ -281,7 +306,7 @@
   }
   tick till = t_add(w_now(m->s.w), t_ms(4000));
   int got = 0, all = 0;
-  while (!r && !had(m, seq, &got, &all))
+  while (!r && !mast_had(m, seq, &got, &all))
     if (bell_wait(&m->s.w->tasks, &m->had, till) != RUNG) r = err_set(&e, E_FEW, "write %" PRIu64 " stands, but only %d of %d vanes have it in force yet", seq, got, all);
   if (r) {
     m->refused++;
@@ -331,7 +356,7 @@
 static void status(mast *m, GString *b) {
   core *c = &m->c;
   json_f(b, "{\"id\":\"%s\",\"role\":\"mast\",\"area\":\"%s\",\"epoch\":%" PRIu64 ",\"version\":%" PRIu64 ",\"last\":%" PRIu64 ",\"place\":%d,\"acts\":%s,\"whole\":%s,\"thin\":%s,",
-         m->s.v.self.s, m->s.v.area.s, c->now.epoch, c->held.seq, c->last, core_place(c), core_acts(c) ? "true" : "false", c->whole ? "true" : "false", view_thin(&c->now) ? "true" : "false");
+         m->s.v.self.s, m->s.v.area.s, c->now.epoch, c->held.seq, c->last, core_place(c), core_acts(c) ? "true" : "false", c->whole ? "true" : "false", view_thin(c, &c->now) ? "true" : "false");
   json_f(b, "\"head\":\"%s\",\"tail\":\"%s\",", c->now.links ? core_head(c)->addr : "", c->now.links ? core_tail(c)->addr : "");
   json_f(b, "\"disk\":{\"id\":\"%016" PRIx64 "\",\"broken\":%s,\"lastWriteMs\":%" PRId64 ",\"file\":%u,\"used\":%zu,\"size\":%zu,\"fill\":%.3f},\"refused\":%" PRIu64 ",",
          c->diskId, c->disk.broken ? "true" : "false", c->disk.slow.us / 1000, c->disk.cur, c->disk.off, c->disk.size, (double)c->disk.baseSize / (double)(c->disk.size ? c->disk.size : 1), m->refused);
@@ -376,7 +401,7 @@
     }
   GString *b = g_string_new(NULL);
   const char *type = "application/json";
-  if (!strcmp(p, "/v1/view")) view_json(&m->c.now, b);
+  if (!strcmp(p, "/v1/view")) view_json(&m->c, b);
   else if (!strcmp(p, "/v1/nodes")) site_json(&m->s, b);
   else if (!strcmp(p, "/v1/status")) status(m, b);
   else if (!strcmp(p, "/v1/contracts")) contracts(m, b);
@@ -411,8 +436,12 @@
 
 static void drain_run(void *p) {
   mast *m = p;
-  for (int i = 0; i < 50 && core_place(&m->c) >= 0 && m->c.now.links > 1; i++) if (!w_nap(m->s.w, t_ms(100))) return;
+  tick from = w_now(m->s.w);
+  while (core_place(&m->c) >= 0 && m->c.now.links > 1 && !t_past(w_now(m->s.w), t_add(from, t_ms(m->hasControl ? OUT_MS : 5000))))
+    if (!w_nap(m->s.w, t_ms(100))) return;
   say(&m->s.log, "core", "%s, stopping.", core_place(&m->c) < 0 ? "Out of the chain" : "Still in the chain");
+  /* late callers are answered, and told where the core is now */
+  if (m->hasControl && !w_nap(m->s.w, t_ms(LINGER_MS))) return;
   m->code = OK;
   bell_ring(&m->over);
 }
@@ -420,6 +449,12 @@
 void mast_drain(mast *m) {
   if (m->c.drain) return;
   m->c.drain = true;
+  if (m->hasControl) {
+    m->control.leaving = m->s.leaving = true;
+    Wire__Beat b = WIRE__BEAT__INIT;
+    Wire__Envelope w = wire_msg(WIRE__ENVELOPE__BODY_BEAT, &b);
+    list_each(k, &m->s.machines, machine, n) if (!k->gone) site_cast(&m->s, k->addr, &w);
+  }
   task_start(&m->s.w->tasks, "drain", drain_run, m);
 }
 
@@ -433,6 +468,7 @@
   m->have = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   m->giving = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   bell_init(&m->had);
+  engines_init(m);
   w->serve = serve;
   w->serve_ctx = m;
   site_start(&m->s);
@@ -444,6 +480,8 @@
   core_free(&m->c);
   g_hash_table_destroy(m->have);
   g_hash_table_destroy(m->giving);
+  registry_free(&m->reg);
+  if (m->configText) g_string_free(m->configText, TRUE);
   site_free(&m->s);
   g_free(m);
 }
--- a/lib/mast/state.c
+++ b/lib/mast/state.c
@@ -114,6 +114,12 @@
 void state_pack(const state *t, uint64_t epoch, GString *to) { pack(t, epoch, true, NULL, 0, to); }
 void state_news(const state *t, uint64_t epoch, const uint64_t *held, size_t n, GString *to) { pack(t, epoch, false, held, n, to); }
 
+size_t state_size(const state *t) {
+  size_t n = 256 + (sizeof(grant) + 32) * g_hash_table_size(t->grants) + (sizeof(once) + 32) * (t->once.length + 1);
+  for (int i = 0; i < RES_COUNT; i++) n += t->res[i].text->len + 64;
+  return n;
+}
+
 uint64_t state_sum(const state *t) {
   uint64_t n = hash_of(&t->seq, sizeof t->seq, t->fleet);
   for (int i = 0; i < RES_COUNT; i++) n ^= hash_of(t->res[i].text->str, t->res[i].text->len, t->res[i].version * RES_COUNT + i);
--- a/lib/site/config.c
+++ b/lib/site/config.c
@@ -1,7 +1,7 @@
 #include "config.h"
 #include <math.h>
 
-const char *const res_name[RES_COUNT] = { "catalogue", "policy", "evacuation" };
+const char *const res_name[RES_COUNT] = { "catalogue", "policy", "evacuation", "routing" };
 static const char *const op_name[] = { "enrol", "select", "hold", "proxy", "answer", "refuse" };
 static const char *const evictions[] = { "cremebrulee", "popularity", "lru", "random" };
 
--- a/lib/site/config.h
+++ b/lib/site/config.h
@@ -3,10 +3,10 @@
 #include "formula.h"
 #include "json.h"
 
-/** The three resources that operators write. */
-enum res { RES_CATALOGUE, RES_POLICY, RES_EVACUATION, RES_COUNT };
+/** The resources that operators write; routing is compiled by routing.h. */
+enum res { RES_CATALOGUE, RES_POLICY, RES_EVACUATION, RES_ROUTING, RES_COUNT };
 extern const char *const res_name[RES_COUNT];
-enum { RES_MOST = 1 << 20, KINDS_MOST = 8, STEPS_MOST = 12, RULES_MOST = 64, OWN_MOST = 8 };
+enum { RES_MOST = 4 << 20, KINDS_MOST = 8, STEPS_MOST = 12, RULES_MOST = 64, OWN_MOST = 8 };
 
 /** A model that the fleet may serve. */
 typedef struct { id self; uint64_t weightsMb; double startMs; } model;
--- a/lib/site/json.c
+++ b/lib/site/json.c
@@ -5,6 +5,7 @@
 #include <yajl/yajl_parse.h>
 
 enum { DEEP = 24, KEYS_MOST = 256 };
+#define EXACT 9007199254740992.0
 typedef struct { json *top; json *stack[DEEP]; int n; GString *key[DEEP]; err *e; int bad; } reader;
 
 static json *make(enum json_kind k) {
@@ -65,6 +66,8 @@
   if (!isfinite(v)) { r->bad = err_set(r->e, E_RANGE, "the number %s is out of range", buf); return 0; }
   json *j = make(J_NUM);
   j->num = v;
+  /* a whole number that a double can't hold keeps its digits */
+  if (fabs(v) >= EXACT && !memchr(p, '.', n) && !memchr(p, 'e', n) && !memchr(p, 'E', n)) j->text = g_string_new(buf);
   return put(c, j);
 }
 static int on_str(void *c, const unsigned char *p, size_t n) {
@@ -122,7 +125,10 @@
 
 static int find(const json *j, const char *key) {
   if (!j || j->kind != J_OBJ) return -1;
-  for (guint i = 0; i < j->keys->len; i++) if (!strcmp(j->keys->pdata[i], key)) return i;
+  for (guint i = 0; i < j->keys->len; i++) {
+    const char *k = j->keys->pdata[i];
+    if (k[0] == key[0] && !strcmp(k, key)) return i;
+  }
   return -1;
 }
 
@@ -150,6 +156,7 @@
     case J_NULL: yajl_gen_null(g); break;
     case J_BOOL: yajl_gen_bool(g, j->yes); break;
     case J_NUM:
+      if (j->text) { yajl_gen_number(g, j->text->str, j->text->len); break; }
       if (j->num == floor(j->num) && fabs(j->num) < 9e15) { yajl_gen_integer(g, (long long)j->num); break; }
       /* the short form, unless it would not read back the same */
       g_ascii_formatd(buf, sizeof buf, "%.15g", j->num);
--- a/lib/site/real.c
+++ b/lib/site/real.c
@@ -1,4 +1,6 @@
 #include "real.h"
+#include "http.h"
+#include "sock.h"
 #include <sys/socket.h>
 #include <errno.h>
 #include <fcntl.h>
@@ -22,6 +24,7 @@
   real_env v;
   struct lws_context *ctx;
   struct lws_vhost *host;
+  http *http;
   lws_sorted_usec_list_t sul;
   GHashTable *peers;
   int fd[FILES];
@@ -186,6 +189,7 @@
 }
 
 static void real_push(ask *a) {
+  if (a->door) { http_push(((real *)a->w)->http, a); return; }
   chan *c = a->impl;
   if (c && c->wsi) lws_callback_on_writable(c->wsi);
 }
@@ -434,6 +438,7 @@
 
 static void real_call(call *c) {
   real *r = (real *)c->w;
+  if (c->kept) { http_call(r->http, c); return; }
   if (r->w.tasks.dead) { c->broken = true; return; }
   struct lws *wsi = NULL;
   c->impl = NULL;
@@ -443,6 +448,7 @@
 }
 
 static void real_drop(call *c) {
+  if (c->kept) { http_call_drop(((real *)c->w)->http, c); return; }
   struct lws *wsi = c->impl;
   if (!wsi) return;
   lws_set_opaque_user_data(wsi, NULL);
@@ -532,10 +538,20 @@
   }
 }
 
+static int sock_cb(struct lws *wsi, enum lws_callback_reasons why, void *user, void *in, size_t len) {
+  (void)user;
+  return sock_event(wsi, why, in, len);
+}
+
+static int real_door_open(world *w, door *d, err *e) { return http_door_open(((real *)w)->http, d, e); }
+static void real_door_shut(world *w, door *d) { http_door_shut(((real *)w)->http, d); }
+static void real_kept_drop(world *w, const char *addr) { http_kept_drop(((real *)w)->http, addr); }
+
 static const struct lws_protocols protos[] = {
   { "http", http_cb, sizeof(chan *), 0, 0, NULL, 0 },
   { "call", call_cb, 0, PIECE, 0, NULL, 0 },
-  { "asterfall-peer", peer_cb, sizeof(wire_in), 64 * 1024, 0, NULL, 0 },
+  { "asterfall-peer", peer_cb, sizeof(wire_in), SOCK_READ, 0, NULL, 0 },
+  { SOCK_PROTOCOL, sock_cb, 0, SOCK_READ, 0, NULL, 0 },
   { NULL, NULL, 0, 0, 0, NULL, 0 } };
 
 static void peer_free(void *p) { peer_clear(p); g_free(p); }
@@ -548,6 +564,7 @@
   sched_init(&r->w.tasks, real_now, r);
   r->w.draw = real_draw; r->w.stamp = real_stamp; r->w.say = real_say;
   r->w.post = real_post; r->w.ask_push = real_push; r->w.call_start = real_call; r->w.call_drop = real_drop;
+  r->w.door_open = real_door_open; r->w.door_shut = real_door_shut; r->w.kept_drop = real_kept_drop;
   r->w.disk_open = real_open; r->w.disk_read = real_read; r->w.disk_write = real_write; r->w.disk_sync = real_sync;
   r->w.body_most = v->body_most ? v->body_most : 1 << 20;
   r->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
@@ -559,7 +576,7 @@
   struct lws_context_creation_info i = { 0 };
   i.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6;
   i.user = r; i.port = CONTEXT_PORT_NO_LISTEN; i.gid = -1; i.uid = -1;
-  i.max_http_header_data = 16384; i.max_http_header_pool = 512; i.pt_serv_buf_size = 64 * 1024;
+  i.max_http_header_data = 16384; i.max_http_header_pool = 512; i.pt_serv_buf_size = SOCK_READ + LWS_PRE;
   /* how long an answer may take is each task's own affair; the library only drops those who never finish their header */
   i.timeout_secs = 600;
   r->ctx = lws_create_context(&i);
@@ -578,6 +595,7 @@
     g_free(r);
     return NULL;
   }
+  r->http = http_new(&r->w, r->host);
   pthread_create(&r->hand, NULL, hand_run, r);
   return &r->w;
 }
@@ -590,13 +608,15 @@
   signal(SIGPIPE, SIG_IGN);
   while (!r->stop) {
     hand_drain(r);
-    tick due = sched_run(&w->tasks), now = w_now(w), most = t_ms(500);
+    tick due;
+    do due = sched_run(&w->tasks); while (http_turn(r->http));
     if (r->stop) break;
     if (asked) { asked = 0; if (on_term) on_term(ctx); else r->stop = true; continue; }
-    tick gap = t_sub(due, now);
+    tick late = http_due(r->http), gap = t_sub(late.us < due.us ? late : due, w_now(w)), most = t_ms(500);
     if (gap.us > most.us) gap = most;
-    bool soon = gap.us < 1000;
-    if (!soon) lws_sul_schedule(r->ctx, 0, &r->sul, on_due, gap.us);
+    /* poll counts whole milliseconds; a wait that is cut down to the one before would be spun out */
+    bool soon = gap.us <= 0;
+    if (!soon) lws_sul_schedule(r->ctx, 0, &r->sul, on_due, (gap.us + 999) / 1000 * 1000 + 500);
     if (lws_service(r->ctx, soon ? -1 : 0) < 0) break;
   }
 }
@@ -615,6 +635,7 @@
   hand_drain(r);
   lws_context_destroy(r->ctx);
   sched_kill(&w->tasks);
+  http_free(r->http);
   for (int i = 0; i < FILES; i++) if (r->fd[i] >= 0) close(r->fd[i]);
   g_hash_table_destroy(r->peers);
   sched_free(&w->tasks);
--- /dev/null
+++ b/lib/site/routing.h
@@ -0,0 +1,73 @@
+#ifndef SITE_ROUTING_H
+#define SITE_ROUTING_H
+#include "json.h"
+
+/* The resource "routing", in our own words (an adapter may rename them, see dialect.h):
+ *  {"version":7,
+ *   "routes":[{"name","host","prefix","mode":"once"|"safe"|"stream","timeoutMs","targetMs","priority","service" or
+ *              "split":[{"service","weight"}],"attempts","affinity":bool,"resumable":bool,"gapTargetMs"}],
+ *   "services":[{"name","health","connectionsMost","protocol","tls","engine":{"slots","kvTokens","kvTokenBytes","stride",
+ *                "models":[{"name","weightsMb","loadS","adapters","adapterMb"}],"weightsMb","adapterSlots","loadsPerS"}}],
+ *   "limits":{"headerBytes","bodyBytes","headerMs","idleMs"}}
+ * Fields that are not known here are kept and given back. */
+
+enum route_mode { MODE_ONCE, MODE_SAFE, MODE_STREAM };
+
+/** A model that a service's engines may hold. load_ms is what the operator says; history knows better. */
+typedef struct svc_model { id name; double weights_mb, load_ms, adapter_mb; unsigned adapters; } svc_model;
+/** A service. engine_slots is 0 when the configuration says nothing of its engines; models is empty for a plain one. */
+typedef struct service {
+  id name;
+  char health[128];
+  unsigned connections_most, engine_slots, adapter_slots;
+  double kv_tokens, kv_token_bytes, weights_mb, loads_per_s, stride;
+  svc_model *models;
+  size_t model_count;
+  GHashTable *model_at;
+} service;
+typedef struct route_leg { const service *to; double weight; } route_leg;
+/** A route. priority: 0 is the most urgent. timeout and target in ms; gap 0 when there is none. */
+typedef struct route {
+  id name;
+  char *host, *prefix;
+  size_t prefix_len;
+  enum route_mode mode;
+  int64_t timeout_ms, target_ms, gap_ms;
+  unsigned priority, attempts;
+  bool affinity, resumable;
+  route_leg *legs;
+  size_t leg_count;
+  double weight_sum;
+} route;
+/** What callers may send. */
+typedef struct limits { size_t header_bytes, body_bytes; int64_t header_ms, idle_ms; } limits;
+/** A compiled configuration. */
+typedef struct routing {
+  uint64_t revision;
+  route *routes;
+  size_t route_count;
+  service *services;
+  size_t service_count;
+  limits limit;
+  GHashTable *route_at, *service_at;
+  size_t prefix_most;
+  int refs;
+} routing;
+
+/** Compiles a whole configuration; NULL with e (path and reason) when it is invalid: not whole, an unknown service, two
+ *  routes with one host and prefix, weights that add up to 0, a timeout of 0, a name that stands twice. */
+routing *routing_make(const json *j, err *e);
+routing *routing_ref(routing *r);
+void routing_unref(routing *r);
+/** The route of a host (its port, and case, don't count) and path: the longest prefix; NULL when there is none. */
+const route *routing_find(const routing *r, str host, str path);
+const service *routing_service(const routing *r, const char *name);
+const svc_model *service_model(const service *s, const char *name);
+/** The leg that a route gives a request: draw is a number from 0 to 1. */
+const service *route_leg_of(const route *r, double draw);
+/** Applies {"version","set":{"routes":[],"services":[]},"drop":{"routes":[names],"services":[]}} to a whole
+ *  configuration; also "limits" in set. NULL with e set when the change is no such thing. Eats nothing. */
+json *routing_patch(const json *base, const json *patch, err *e);
+/** What a new configuration must keep to beside its own validity: its revision lies above the current one. */
+int routing_follows(const json *next, uint64_t current, err *e);
+#endif
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -22,6 +22,19 @@
   size_t fileBytes;
   bool loud;
   unsigned wire;
+  /** A vane that is a gateway: engines register themselves, and there is no list of a platform. */
+  bool gateway;
+  /** Founders by address, when their names are not known: count, and the peers' addresses. Only at a first start. */
+  int founderCount;
+  char founderAddrs[3][48];
+  /** Copies, and areas, on which a write must be synced before it is acknowledged; 0: two copies in two areas. */
+  int copies, copyAreas;
+  /** Members of the core's chain and voters; 0: three. */
+  int members;
+  /** A write is acknowledged without waiting for vanes to have it, and vanes that hear no news serve on. */
+  bool loose;
+  /** Where a core machine takes engines' beats and the operator's configuration; blank: nowhere. */
+  char control[48];
 } env;
 
 /** What this node knows of one of the fleet's machines. */
--- /dev/null
+++ b/lib/site/sock.h
@@ -0,0 +1,30 @@
+#ifndef SITE_SOCK_H
+#define SITE_SOCK_H
+#include "base.h"
+
+struct lws;
+struct lws_vhost;
+/** A socket that libwebsockets watches and somebody else reads and writes. */
+typedef struct sock {
+  struct lws *wsi;
+  int fd;
+  /** Bytes that came (none for a listening socket: it may be accepted from), and room to write; -1 closes. */
+  int (*on_read)(struct sock *s, const char *p, size_t n);
+  int (*on_room)(struct sock *s);
+  /** It is closed; called once. */
+  void (*on_closed)(struct sock *s);
+} sock;
+enum { SOCK_READ = 16 * 1024 };
+/** The name of the protocol that sock_event serves; reads are of SOCK_READ bytes at most if the context is made so. */
+#define SOCK_PROTOCOL "sock"
+/** Begins to watch s->fd; when it can't, the descriptor is closed, and nothing is called. */
+bool sock_watch(sock *s, struct lws_vhost *vhost, bool listening);
+/** Asks for on_room once. */
+void sock_want_room(sock *s);
+/** Reads on, or not. */
+void sock_hear(sock *s, bool yes);
+/** Closes at once. Not from within on_read and on_room, which say -1. */
+void sock_kill(sock *s);
+/** What libwebsockets calls; why is its enum. */
+int sock_event(struct lws *wsi, int why, void *in, size_t len);
+#endif
--- a/lib/site/task.c
+++ b/lib/site/task.c
@@ -1,14 +1,16 @@
 #include "task.h"
 #include <pcl.h>
 #include <stdlib.h>
+#include <sys/mman.h>
 #if defined(__SANITIZE_ADDRESS__)
+#include <sanitizer/asan_interface.h>
 #include <sanitizer/common_interface_defs.h>
 #define ASAN_ON 1
 #else
 #define ASAN_ON 0
 #endif
 
-enum { STACK = 128 * 1024 };
+enum { STACK = 128 * 1024, GUARD = 4096, SPARE_MOST = 64 };
 
 struct task {
   node all, ready, wait;
@@ -26,6 +28,10 @@
   bool done;
 };
 
+/* tasks that are over, with their stacks: the next ones run on them */
+static node spare = { &spare, &spare };
+static int spares;
+
 static void leave(task *t) {
 #if ASAN_ON
   void *fake = NULL;
@@ -74,13 +80,28 @@
   s->now = now; s->ctx = ctx;
 }
 
-void task_start(sched *s, const char *name, void (*run)(void *), void *arg) {
+/* pages that are never touched cost no memory; a stack that overflows meets a page that can't be touched */
+static task *task_new(void) {
   task *t = g_new0(task, 1);
-  t->s = s; t->name = name; t->run = run; t->arg = arg;
-  list_init(&t->wait);
-  t->stack = aligned_alloc(64, STACK);
+  char *p = mmap(NULL, GUARD + STACK, PROT_READ | PROT_WRITE, MAP_PRIVATE | MAP_ANONYMOUS | MAP_NORESERVE | MAP_STACK, -1, 0);
+  if (p == MAP_FAILED) abort();
+  mprotect(p, GUARD, PROT_NONE);
+  t->stack = p + GUARD;
   t->co = co_create(body, t, t->stack, STACK);
   if (!t->co) abort();
+  return t;
+}
+
+void task_start(sched *s, const char *name, void (*run)(void *), void *arg) {
+  task *t;
+  if (spares) {
+    t = list_item(spare.prev, task, all);
+    list_cut(&t->all);
+    spares--;
+  } else t = task_new();
+  t->s = s; t->name = name; t->run = run; t->arg = arg;
+  t->done = false;
+  list_init(&t->wait);
   list_push(&s->all, &t->all);
   list_push(&s->ready, &t->ready);
   s->count++;
@@ -89,8 +110,17 @@
 static void drop(task *t) {
   list_cut(&t->all);
   t->s->count--;
+  if (spares < SPARE_MOST) {
+    t->s = NULL;
+    spares++;
+    list_push(&spare, &t->all);
+    return;
+  }
   co_delete(t->co);
-  free(t->stack);
+#if ASAN_ON
+  __asan_unpoison_memory_region(t->stack, STACK);
+#endif
+  munmap((char *)t->stack - GUARD, GUARD + STACK);
   g_free(t);
 }
 
--- a/lib/site/world.c
+++ b/lib/site/world.c
@@ -58,6 +58,9 @@
 void ask_free(ask *a) {
   g_free(a->verb); g_free(a->path); g_free(a->query);
   head_free(&a->in); head_free(&a->reply);
+  g_free(a->target); g_free(a->host);
+  if (a->fields) g_string_free(a->fields, TRUE);
+  if (a->reply_fields) g_string_free(a->reply_fields, TRUE);
   g_string_free(a->body, TRUE); g_string_free(a->out, TRUE);
   g_free(a);
 }
@@ -80,6 +83,28 @@
   return c;
 }
 
+call *call_open_fields(world *w, const char *addr, const char *verb, const char *target, const fields *f, str body, bool fresh, tick by) {
+  call *c = g_new0(call, 1);
+  c->w = w;
+  c->kept = true;
+  c->fresh = fresh;
+  c->addr = g_strdup(addr); c->verb = g_strdup(verb); c->path = g_strdup(target);
+  c->out_fields = g_string_new_len(f ? f->str : "", f ? (gssize)f->len : 0);
+  c->in_fields = g_string_new(NULL);
+  c->body = g_string_new_len(body.p ? body.p : "", body.n);
+  c->got = g_string_new(NULL);
+  c->most = SIZE_MAX / 2;
+  c->by = by;
+  bell_init(&c->news);
+  w->call_start(c);
+  return c;
+}
+
+void call_match(call *c, const char *name, str value) {
+  c->match_name = g_strdup(name);
+  c->match_value = g_strndup(value.p, value.n);
+}
+
 int call_wait(call *c, tick till) {
   while (!c->status && !c->ended && !c->broken) {
     enum wake y = bell_wait(&c->w->tasks, &c->news, till);
@@ -116,6 +141,9 @@
   g_free(c->addr); g_free(c->verb); g_free(c->path);
   head_free(&c->out); head_free(&c->in);
   g_string_free(c->body, TRUE); g_string_free(c->got, TRUE);
+  if (c->out_fields) g_string_free(c->out_fields, TRUE);
+  if (c->in_fields) g_string_free(c->in_fields, TRUE);
+  g_free(c->match_name); g_free(c->match_value);
   g_free(c);
 }
 
--- a/lib/site/world.h
+++ b/lib/site/world.h
@@ -1,6 +1,7 @@
 #ifndef SITE_WORLD_H
 #define SITE_WORLD_H
 #include "base.h"
+#include "fields.h"
 #include "task.h"
 
 /** The header fields that asterfall reads and writes; no others reach its code. */
@@ -14,10 +15,43 @@
 void head_free(head *h);
 
 typedef struct world world;
+typedef struct ask ask;
+
+/** A place of its own where requests come in, with all their header fields. The bounds may be changed while it is open. */
+typedef struct door {
+  world *w;
+  char ip[48];
+  int port;
+  void (*serve)(void *ctx, ask *a);
+  void *ctx;
+  /** Bounds on what a caller may send, and how long it may take or be idle. Past them it gets 431, 413 or 408. */
+  size_t header_most, body_most;
+  int64_t header_ms, idle_ms;
+  /** More channels than this are reset; 0: no bound. */
+  int channels_most;
+  /** Set while this process leaves: answers carry "Connection: close", and their channels end after them. */
+  bool leaving;
+  /** Exchanges whose request was read whole and that are not answered yet; and channels that are open. */
+  int exchanges, channels;
+  /** Whole requests that came in. */
+  uint64_t requests;
+  void *impl;
+} door;
 
 /** A request that a caller sent to us. The task that serves it owns it until the serve function returns. */
-typedef struct ask {
+struct ask {
   world *w;
+  /** Where it came in, or NULL for the process's own port; what follows up to reply_fields is for doors only. */
+  door *door;
+  /** Path and query as they came, the host without its port, and all header fields, ours and unknown ones. */
+  char *target, *host;
+  fields *fields;
+  /** Fields to send with the answer beside those of framing; set before it begins. */
+  fields *reply_fields;
+  /** When the last byte of the request was read. */
+  tick came;
+  /** The channel ends after this answer. */
+  bool shut;
   char *verb, *path, *query;
   char from[48];
   head in;
@@ -27,8 +61,10 @@
   int status;
   bool began, ended, clean, gone, tooBig;
   bell drained;
+  /** Rung when the caller goes away, beside drained; NULL when nobody minds. */
+  bell *left;
   void *impl;
-} ask;
+};
 
 /** A request that we send to somebody. */
 typedef struct call {
@@ -45,6 +81,16 @@
   size_t most;
   tick by;
   bell news;
+  /** For calls opened by call_open_fields: they share channels that are kept open; fields go and come whole. */
+  bool kept;
+  /** The channel must be a new one; it was one that had served before; the other side ends it after this answer. */
+  bool fresh, reused, closes;
+  fields *out_fields, *in_fields;
+  /** An answer whose field of this name has another value belongs to another request, and is passed over. */
+  char *match_name, *match_value;
+  unsigned passed_over;
+  /** When the channel was up, when all was handed over, and when the last byte came. */
+  tick up_at, sent_at, last;
   void *impl;
 } call;
 
@@ -60,6 +106,14 @@
   void (*serve)(void *ctx, ask *a);
   void *serve_ctx;
   size_t body_most;
+  /** Opens a door; its struct stays with the caller until the world ends. */
+  int (*door_open)(world *w, door *d, err *e);
+  /** Stops taking new channels; those that are open live on. */
+  void (*door_shut)(world *w, door *d);
+  /** Ends the idle channels that are kept to an address. */
+  void (*kept_drop)(world *w, const char *addr);
+  /** Ends a kept channel when it has been idle for so long; asked for when a call begins. In ms; 0: no bound. */
+  int64_t kept_idle_ms;
   void (*ask_push)(ask *a);
   void (*call_start)(call *c);
   void (*call_drop)(call *c);
@@ -93,6 +147,13 @@
 call *call_open(world *w, const char *addr, const char *verb, const char *path, const head *h, str body, size_t most);
 /** The same, but nothing is sent after an instant: a process that slept in between must not act on what it knew before. */
 call *call_open_by(world *w, const char *addr, const char *verb, const char *path, const head *h, str body, size_t most, tick by);
+/** A request with header fields of its own, on a channel that may be kept and shared. fresh asks for a new channel. Nothing is
+ *  sent after by. The fields hold all but Content-Length, Connection and Transfer-Encoding; Host must be among them.
+ *  call_wait and call_read serve as for others. sent means that the first byte was handed over. Ends of a channel
+ *  that had served before, before any byte came, count as broken like others: what was sent may have run. */
+call *call_open_fields(world *w, const char *addr, const char *verb, const char *target, const fields *f, str body, bool fresh, tick by);
+/** Names the field that an answer must carry for it to be this request's; before anything is waited for. */
+void call_match(call *c, const char *name, str value);
 /** Waits for the status line; gives OK, E_TIME, E_DEAD, or E_LOST (E_SENT when bytes may have reached the other side). */
 int call_wait(call *c, tick till);
 /** Gives what has come since, waiting for some: OK with bytes, E_GONE at a clean end, E_BROKE, E_TIME, E_DEAD. */
--- a/lib/vane/duty.c
+++ b/lib/vane/duty.c
@@ -1,7 +1,7 @@
 #include "vane.h"
 #include <stdio.h>
 
-enum { RENEW_MS = 600, ASK_MS = 300, GIVE_BACK_MS = 20000, STEADY_MS = 1500, IDLE_MS = 2500 };
+enum { RENEW_MS = 600, ASK_MS = 300, GIVE_BACK_MS = 20000, FORGET_MS = 10000, STEADY_MS = 1500, IDLE_MS = 2500 };
 
 void duty_engine(char *buf, size_t n, id e) { snprintf(buf, n, "engine:%s", e.s); }
 
@@ -94,6 +94,8 @@
 
 static bool out_of_duty(vane *v) { return v->drain || (v->now && config_empties_all(v->now, v->s.v.area)); }
 
+static void want_duty(vane *v, const char *duty) { contract_of(v, duty)->want = true; }
+
 /* which duties there are, and which of them this vane should have */
 static void plan(vane *v) {
   GHashTableIter it;
@@ -101,6 +103,7 @@
   g_hash_table_iter_init(&it, v->contracts);
   while (g_hash_table_iter_next(&it, NULL, &p)) ((contract *)p)->want = false;
   if (out_of_duty(v) || !v->now) return;
+  if (v->each_duty) v->each_duty(v->gate, want_duty);
   char d[64];
   list_each(e, &v->engines, engine, n) {
     if (e->quit || !e->listed) continue;
@@ -119,6 +122,12 @@
     GHashTableIter it;
     gpointer q;
     g_hash_table_iter_init(&it, v->contracts);
+    /* only this task forgets, where it holds none across a wait */
+    while (v->each_duty && g_hash_table_iter_next(&it, NULL, &q)) {
+      contract *c = q;
+      if (!c->want && !c->held && t_past(now, t_add(c->till, t_ms(FORGET_MS)))) g_hash_table_iter_remove(&it);
+    }
+    g_hash_table_iter_init(&it, v->contracts);
     while (g_hash_table_iter_next(&it, NULL, &q)) {
       contract *c = q;
       if (!c->held) continue;
--- a/lib/vane/history.c
+++ b/lib/vane/history.c
@@ -63,7 +63,7 @@
 }
 
 void history_window(history *h, tick window) {
-  if (window.us == h->window.us) return;
+  if (h->fixed || window.us == h->window.us) return;
   h->window = window;
   GHashTable *all[] = { h->tallies, h->mine };
   for (int i = 0; i < 2; i++) {
@@ -74,6 +74,12 @@
   }
 }
 
+void history_window_fix(history *h, tick window) {
+  h->fixed = false;
+  history_window(h, window);
+  h->fixed = true;
+}
+
 double history_rate(history *h, const char *key) {
   tally *t = g_hash_table_lookup(h->tallies, key);
   return t ? (double)sum(h, t) / ((double)h->window.us / 1e6) : 0;
--- a/lib/vane/history.h
+++ b/lib/vane/history.h
@@ -16,6 +16,7 @@
   entry ring[JOURNAL];
   uint64_t seq;
   tick window;
+  bool fixed;
   GHashTable *tallies, *mine, *times, *heard;
   double smooth;
   uint64_t count[16];
@@ -27,6 +28,8 @@
 void history_add(history *h, entry e);
 /** Sets the window over which rates are taken; a change starts the slices anew. */
 void history_window(history *h, tick window);
+/** Sets it for good, whatever configurations say later. */
+void history_window_fix(history *h, tick window);
 /** The key of a model, or of an adapter on its model. */
 void history_key(char *buf, size_t n, id model, id adapter);
 /** Requests a second for a key, over the window. */
--- a/lib/vane/news.c
+++ b/lib/vane/news.c
@@ -1,4 +1,7 @@
 #include "vane.h"
+#include "routing.h"
+
+enum { ASK_MS = 900, ASK_LOOSE_MS = 1500, SILENT_MS = 2000, PEER_EACH_MS = 500, CALM_MS = 50, CALM_LOOSE_MS = 100 };
 
 typedef struct { id holder; uint64_t epoch; } granted;
 
@@ -69,20 +72,34 @@
   json *j[RES_COUNT] = { 0 };
   Wire__Res *part[RES_COUNT] = { 0 };
   config *c = NULL;
+  routing *routes = NULL;
+  bool rerouted = false;
   err e = { 0 };
   for (size_t i = 0; ok && i < d->n_res; i++)
     for (int k = 0; k < RES_COUNT; k++) if (!strcmp(d->res[i]->name, res_name[k])) part[k] = d->res[i];
   for (int k = 0; ok && k < RES_COUNT; k++) {
     /* a part that was left out must be held here in just that version, so that the whole is never a mix */
     if (!part[k] || (part[k]->same && part[k]->version != v->resAt[k])) { memset(v->resAt, 0, sizeof v->resAt); ok = false; break; }
+    /* what is compiled already is left as it is */
+    if (k == RES_ROUTING && part[k]->version == v->resAt[k]) continue;
     ok = (j[k] = json_read(part[k]->same ? str_g(v->res[k]) : (str){ (char *)part[k]->text.data, part[k]->text.len }, &e)) != NULL;
   }
+  if (ok && j[RES_ROUTING]) {
+    rerouted = true;
+    if (json_count(j[RES_ROUTING])) ok = (routes = routing_make(j[RES_ROUTING], &e)) != NULL;
+    if (!ok) say(&v->s.log, "news", "Refused the routing of digest %" PRIu64 " from %s: %s (code %d).", d->seq, from, e.text, e.code);
+  }
   if (ok) c = config_make((const json **)j, &e);
+  if (!c) routing_unref(routes);
   for (int k = 0; k < RES_COUNT; k++) json_free(j[k]);
   if (ok && !c) say(&v->s.log, "news", "Refused digest %" PRIu64 " from %s: %s (code %d).", d->seq, from, e.text, e.code);
   if (c) {
     config_free(v->now);
     v->now = c;
+    if (rerouted) {
+      routing_unref(v->routes);
+      v->routes = routes;
+    }
     v->fleet = d->fleet; v->seq = d->seq;
     v->epoch = MAX(v->epoch, d->epoch);
     for (int k = 0; k < RES_COUNT; k++) {
@@ -104,21 +121,42 @@
     v->h.smooth = c->smooth;
     whisper(&v->s.log, "news", "Version %" PRIu64 " of view %" PRIu64 " is in force, from %s.", d->seq, d->epoch, from);
     bell_ring(&v->told);
-    tell_core(v);
+    if (!v->s.v.loose) tell_core(v);
     bell_ring(&v->moved);
+    if (v->on_installed) v->on_installed(v->gate);
   }
   wire__digest__free_unpacked(d, NULL);
   return c != NULL;
 }
 
+/* what this vane has of one core machine's registry; such a machine's changes hold whenever they come */
+static void engines_of(vane *v, const char *addr) {
+  v->engineRun = v->engineSeq = 0;
+  for (size_t i = 0; i < G_N_ELEMENTS(v->engineAt); i++)
+    if (!strcmp(v->engineAt[i].addr, addr)) { v->engineRun = v->engineAt[i].run; v->engineSeq = v->engineAt[i].seq; }
+}
+
+static void engines_note(vane *v, const char *addr, uint64_t run, uint64_t seq) {
+  size_t at = G_N_ELEMENTS(v->engineAt);
+  for (size_t i = 0; i < G_N_ELEMENTS(v->engineAt); i++) if (!strcmp(v->engineAt[i].addr, addr)) at = i;
+  if (at == G_N_ELEMENTS(v->engineAt)) {
+    at = v->engineNext++ % G_N_ELEMENTS(v->engineAt);
+    g_strlcpy(v->engineAt[at].addr, addr, sizeof v->engineAt[at].addr);
+  }
+  v->engineAt[at].run = v->engineRun = run;
+  v->engineAt[at].seq = v->engineSeq = seq;
+}
+
 static bool ask_news(vane *v, const char *addr, bool core, id who) {
   tick now = w_now(v->s.w);
   Wire__News n = WIRE__NEWS__INIT;
   n.epoch = v->epoch; n.seq = v->seq; n.fleet = v->fleet; n.n_held = RES_COUNT; n.held = v->resAt;
   n.listage = v->listKnown ? (uint64_t)t_sub(now, v->listAt).us / 1000 + 1 : 0;
+  n.engines = core && v->on_engines;
+  if (n.engines) { engines_of(v, addr); n.enginerun = v->engineRun; n.engineseq = v->engineSeq; }
   Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_NEWS, &n), *b;
   err e = { 0 };
-  if (site_call(&v->s, addr, &m, t_ms(core ? 900 : 600), &b, &e)) return false;
+  if (site_call(&v->s, addr, &m, t_ms(core ? (v->s.v.loose ? ASK_LOOSE_MS : ASK_MS) : 600), &b, &e)) return false;
   bool ok = false;
   if (b->body_case == WIRE__ENVELOPE__BODY_NEWSBACK) {
     Wire__NewsBack *k = b->newsback;
@@ -127,6 +165,15 @@
     ok = core ? k->fresh : got;
     if (core && k->fresh && level) { v->fresh = young(v->fresh, now); v->sure = true; }
     if (core && k->epoch > v->epoch) v->epoch = k->epoch;
+    if (core && k->epoch) v->coreAt = w_now(v->s.w);
+    if (core && k->n_core) {
+      const char *hint = k->core[w_draw(v->s.w, k->n_core)];
+      if (addr_fits(hint)) g_strlcpy(v->coreHint, hint, sizeof v->coreHint);
+    }
+    if (n.engines && k->enginerun) {
+      engines_note(v, addr, k->enginerun, k->engineseq);
+      if (k->n_engines || k->enginewhole) v->on_engines(v->gate, k);
+    }
     /* what a vane says counts from when it was asked, less the age that it gives; clocks are never compared */
     machine *o = core ? NULL : site_find(&v->s, who);
     if (o && k->age < 100000 && k->listage < 100000000) {
@@ -146,20 +193,35 @@
   return ok;
 }
 
+/* engines that leave are told by core machines at once, beside the news */
+static int on_engines(void *ctx, Wire__Envelope *in, reply *o, err *e) {
+  vane *v = ctx;
+  (void)o;
+  if (in->from->role != ROLE_MAST) return err_set(e, E_WIRE, "only core machines tell of engines");
+  Wire__NewsBack b = WIRE__NEWS_BACK__INIT;
+  b.n_engines = in->engines->n_engines; b.engines = in->engines->engines;
+  if (v->on_engines && b.n_engines) v->on_engines(v->gate, &b);
+  return OK;
+}
+
 /* asks one mast after the other with the version held */
 static void news_run(void *p) {
   vane *v = p;
   for (;;) {
-    machine *k = site_some(&v->s, ROLE_MAST, v->core);
+    /* one that has no state says who does */
+    const char *last = v->coreHint[0] ? v->coreHint : v->core;
+    machine *k = site_some(&v->s, ROLE_MAST, last);
+    v->coreHint[0] = 0;
     if (k) g_strlcpy(v->core, k->addr, sizeof v->core);
     tick from = w_now(v->s.w);
     if (k && ask_news(v, v->core, true, k->self)) {
       /* an answer that came at once without news must not turn into a storm */
-      if (!t_past(w_now(v->s.w), t_add(from, t_ms(50))) && !w_nap(v->s.w, t_ms(50))) return;
+      int64_t calm = v->s.v.loose ? CALM_LOOSE_MS : CALM_MS;
+      if (!t_past(w_now(v->s.w), t_add(from, t_ms(calm))) && !w_nap(v->s.w, t_ms(calm))) return;
       continue;
     }
     v->core[0] = 0;
-    if (!w_nap_about(v->s.w, t_ms(k ? 120 : 250))) return;
+    if (!w_nap_about(v->s.w, t_ms(v->coreHint[0] ? 30 : k ? 120 : 250))) return;
   }
 }
 
@@ -192,6 +254,20 @@
   }
 }
 
+/* where vanes that hear no news serve on, one other is asked now and then, and only while the core is silent */
+static void peer_of_loose_run(void *p) {
+  vane *v = p;
+  while (w_nap_about(v->s.w, t_ms(PEER_EACH_MS))) {
+    if (v->now && within(v, v->coreAt, SILENT_MS)) continue;
+    machine *m = site_some(&v->s, ROLE_VANE, NULL);
+    if (!m || m->gone) continue;
+    id who = m->self;
+    char addr[48];
+    g_strlcpy(addr, m->addr, sizeof addr);
+    ask_news(v, addr, false, who);
+  }
+}
+
 /* what is in force is told again and again, since a cast may be lost and a head is new at times */
 static void have_run(void *p) {
   vane *v = p;
@@ -248,6 +324,9 @@
 void news_start(vane *v) {
   site_on(&v->s, WIRE__ENVELOPE__BODY_NEWS, on_news, v);
   task_start(&v->s.w->tasks, "news", news_run, v);
+  /* a gateway takes these messages itself, since its fellows send them too */
+  site_on(&v->s, WIRE__ENVELOPE__BODY_ENGINES, on_engines, v);
+  if (v->s.v.loose) { task_start(&v->s.w->tasks, "peers", peer_of_loose_run, v); return; }
   task_start(&v->s.w->tasks, "peers", peers_run, v);
   task_start(&v->s.w->tasks, "have", have_run, v);
 }
--- a/lib/vane/route.c
+++ b/lib/vane/route.c
@@ -719,7 +719,8 @@
   else if (!strcmp(p, "/v1/nodes")) site_json(&v->s, b);
   else if (!strcmp(p, "/v1/status")) status_json(v, b);
   else if (!strcmp(p, "/v1/journal")) journal_json(v, b, only, model_, after);
-  else if (!strcmp(p, "/metrics")) { metrics(v, b); type = "text/plain"; }
+  else if (v->page && !strcmp(p, "/v1/gateway")) v->page(v->gate, b, false);
+  else if (!strcmp(p, "/metrics")) { metrics(v, b); if (v->page) v->page(v->gate, b, true); type = "text/plain"; }
   if (b->len) ask_answer(a, 200, type, str_g(b));
   else answer_err(a, 404, E_PATH, "there is no such page here; the resources are at the core, see /v1/status");
   g_free(only); g_free(model_); g_free(after);
--- a/lib/vane/vane.c
+++ b/lib/vane/vane.c
@@ -1,4 +1,5 @@
 #include "vane.h"
+#include "routing.h"
 
 vane *vane_new(world *w, const env *x) {
   vane *v = g_new0(vane, 1);
@@ -18,8 +19,11 @@
   w->serve_ctx = v;
   site_start(&v->s);
   news_start(v);
-  platform_start(v);
-  place_start(v);
+  /* a gateway's engines register themselves, and it places by itself */
+  if (!x->gateway) {
+    platform_start(v);
+    place_start(v);
+  }
   duty_start(v);
   return v;
 }
@@ -45,6 +49,7 @@
   g_string_free(v->list, TRUE);
   g_hash_table_destroy(v->grants); g_hash_table_destroy(v->contracts); g_hash_table_destroy(v->backs);
   config_free(v->now);
+  routing_unref(v->routes);
   history_free(&v->h);
   site_free(&v->s);
   g_free(v);
--- a/lib/vane/vane.h
+++ b/lib/vane/vane.h
@@ -56,7 +56,8 @@
 typedef struct lane { int waiting, running; uint64_t asked, done, refused, failed, shed; } lane;
 
 /** A data-plane machine. */
-typedef struct vane {
+typedef struct vane vane;
+struct vane {
   site s;
   config *now;
   uint64_t epoch, seq, fleet, resAt[RES_COUNT], newsBytes, newsCount;
@@ -82,7 +83,23 @@
   tick listAt;
   int open;
   double served;
-} vane;
+  /** The compiled routing, NULL when the resource is blank; and its owner's hooks: called when a digest was installed,
+   *  for engines in news, and to name the duties that there are. */
+  struct routing *routes;
+  void *gate;
+  void (*on_installed)(void *gate);
+  void (*on_engines)(void *gate, const Wire__NewsBack *b);
+  void (*each_duty)(void *gate, void (*one)(vane *v, const char *duty));
+  /** Writes the gateway's own part of the pages: its status, or lines of metrics. */
+  void (*page)(void *gate, GString *to, bool metrics);
+  /** What of the engines this vane has by news: of the core machine asked last, and of those asked before it. */
+  uint64_t engineRun, engineSeq;
+  struct { char addr[48]; uint64_t run, seq; } engineAt[8];
+  int engineNext;
+  /** When any core machine last gave the state, and where one that had none said it is. */
+  tick coreAt;
+  char coreHint[48];
+};
 
 vane *vane_new(world *w, const env *v);
 /** Stops taking requests, gives its duties back, lets streams end; over rings when done. */
--- /dev/null
+++ b/tests/loader.c
@@ -0,0 +1,297 @@
+#include "gate.h"
+#include "stories.h"
+#include <stdio.h>
+
+/* a gateway's knowledge alone, without a network: the clock and chance are those of a machine that does nothing else */
+typedef struct bare { gate g; vane v; routing *r; host *h; } bare;
+
+static const char SERVICES[] =
+  "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/\",\"mode\":\"stream\",\"timeoutMs\":5000,\"targetMs\":600,\"service\":\"s\"}],"
+  "\"services\":[{\"name\":\"s\",\"engine\":{\"slots\":8,\"kvTokens\":100000,\"weightsMb\":83000,\"adapterSlots\":2,\"loadsPerS\":2,\"models\":["
+  "{\"name\":\"big\",\"weightsMb\":40000,\"loadS\":2,\"adapters\":9,\"adapterMb\":40},{\"name\":\"mid\",\"weightsMb\":30000,\"loadS\":2},"
+  "{\"name\":\"low\",\"weightsMb\":10000,\"loadS\":1},{\"name\":\"new\",\"weightsMb\":35000,\"loadS\":2,\"adapters\":3,\"adapterMb\":40}]}}]}";
+
+static bare *bare_new(fleet *f) {
+  bare *b = g_new0(bare, 1);
+  b->h = f->op;
+  host_start(b->h);
+  b->g.v = &b->v;
+  b->v.s.w = &b->h->w;
+  b->v.s.v.self = id_c("vane-1");
+  b->v.s.v.area = id_c("north");
+  list_init(&b->v.s.machines);
+  history_init(&b->v.h, b->v.s.w);
+  history_window_fix(&b->v.h, t_ms(60000));
+  list_init(&b->g.instances);
+  bell_init(&b->g.moved);
+  b->g.nodes = 1;
+  b->g.instance_at = g_hash_table_new(g_str_hash, g_str_equal);
+  b->g.slow = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  err e = { 0 };
+  json *j = json_read(str_of(SERVICES), &e);
+  b->r = j ? routing_make(j, &e) : NULL;
+  if (!b->r) breach(f, "the test's configuration is refused: %s", e.text);
+  json_free(j);
+  b->g.now = b->r;
+  return b;
+}
+
+static void bare_free(bare *b) {
+  instances_free(&b->g);
+  g_hash_table_destroy(b->g.instance_at);
+  history_free(&b->v.h);
+  routing_unref(b->r);
+  g_free(b);
+}
+
+/* an engine's beat: models as "m,m+a" */
+static instance *beat(bare *b, const char *self, const char *addr, uint64_t count, uint64_t age, const char *models) {
+  Wire__Engine w = WIRE__ENGINE__INIT;
+  w.id = (char *)self; w.service = "s"; w.addr = (char *)addr; w.area = "north"; w.slots = 8; w.count = count; w.agems = age;
+  char **parts = g_strsplit(models, ",", -1);
+  Wire__Resident r[8], *rp[8];
+  char *adapters[8];
+  size_t n = 0;
+  for (char **p = parts; *p && **p; p++) {
+    char *plus = strchr(*p, '+');
+    wire__resident__init(&r[n]);
+    r[n].model = *p;
+    if (plus) { *plus = 0; adapters[n] = plus + 1; r[n].n_adapters = 1; r[n].adapters = &adapters[n]; }
+    rp[n] = &r[n];
+    n++;
+  }
+  w.n_models = n;
+  w.models = rp;
+  instance_heard(&b->g, &w);
+  g_strfreev(parts);
+  return instance_find(&b->g, self);
+}
+
+static void asked(bare *b, const char *model, const char *adapter, int times) {
+  for (int k = 0; k < times; k++) history_add(&b->v.h, (entry){ EV_ROUTED, { 0 }, id_c(""), id_c(model), id_c(adapter), 0 });
+}
+
+#define WANT(f, x) do { if (!(x)) breach(f, "line %d: %s", __LINE__, #x); } while (0)
+static bool near(double a, double b) { return a > b * 0.999 - 1e-9 && a < b * 1.001 + 1e-9; }
+
+static bool room_counts_in_both_measures(fleet *f) {
+  bare *b = bare_new(f);
+  const service *s = routing_service(b->r, "s");
+  instance *i = beat(b, "e1", "10.0.0.1:80", 1, 0, "big,mid");
+  asked(b, "big", "", 60);
+  asked(b, "mid", "", 30);
+  double mb;
+  unsigned slots;
+  WANT(f, near(place_cost(i, s, id_c("low"), id_c(""), &mb, &slots), 0));
+  WANT(f, near(mb, 10000) && slots == 0);
+  /* the lesser worth goes: two seconds of load at half a request a second */
+  WANT(f, near(place_cost(i, s, id_c("new"), id_c(""), &mb, &slots), 2000 * 0.5));
+  /* an adapter takes a place and its own weights, and its base when that is not there */
+  WANT(f, near(place_cost(i, s, id_c("big"), id_c("a1"), &mb, &slots), 0) && near(mb, 40) && slots == 1);
+  place_cost(i, s, id_c("new"), id_c("a1"), &mb, &slots);
+  WANT(f, near(mb, 35040) && slots == 1);
+  /* both places taken: adapters go for an adapter, never the base that it needs */
+  instance_loaded(i, id_c("big"), id_c("a2"));
+  instance_loaded(i, id_c("big"), id_c("a3"));
+  asked(b, "big", "a2", 12);
+  asked(b, "big", "a3", 6);
+  WANT(f, near(place_cost(i, s, id_c("big"), id_c("a1"), &mb, &slots), 15 * 0.1));
+  /* what is owed counts as taken */
+  i->owed_mb = 10000;
+  WANT(f, place_cost(i, s, id_c("low"), id_c(""), &mb, &slots) > 0);
+  i->owed_mb = 60000;
+  WANT(f, place_cost(i, s, id_c("new"), id_c(""), &mb, &slots) < 0);
+  i->owed_mb = 0;
+  /* what is on its way out keeps its room, and can't go twice */
+  instance_going(i, id_c("mid"), id_c(""));
+  WANT(f, !instance_holds(i, id_c("mid"), id_c("")) && instance_holds(i, id_c("big"), id_c("a2")));
+  WANT(f, place_cost(i, s, id_c("new"), id_c(""), &mb, &slots) > 2000 * 0.9);
+  bare_free(b);
+  return true;
+}
+
+static bool copies_share_a_rate(fleet *f) {
+  bare *b = bare_new(f);
+  const service *s = routing_service(b->r, "s");
+  instance *i = beat(b, "e1", "10.0.0.1:80", 1, 0, "big,mid");
+  asked(b, "big", "", 60);
+  asked(b, "mid", "", 36);
+  double mb;
+  unsigned slots;
+  WANT(f, near(place_cost(i, s, id_c("new"), id_c(""), &mb, &slots), 2000 * 0.6));
+  /* with a second and third copy of big, each is worth a third of its rate; by size it is the least */
+  beat(b, "e2", "10.0.0.2:80", 1, 0, "big");
+  beat(b, "e3", "10.0.0.3:80", 1, 0, "big");
+  WANT(f, instance_copies(&b->g, id_c("s"), id_c("big"), id_c("")) == 3);
+  WANT(f, near(place_cost(i, s, id_c("new"), id_c(""), &mb, &slots), 2000 / 3.0));
+  bare_free(b);
+  return true;
+}
+
+static bool orders_outlast_older_beats(fleet *f) {
+  bare *b = bare_new(f);
+  instance *i = beat(b, "e1", "10.0.0.1:80", 1, 0, "big");
+  id none = id_c("");
+  instance_loaded(i, id_c("mid"), none);
+  beat(b, "e1", "10.0.0.1:80", 2, 0, "big");
+  WANT(f, instance_holds(i, id_c("mid"), none));
+  instance_unloaded(i, id_c("big"), none);
+  sim_run(f->s, t_ms(1000));
+  beat(b, "e1", "10.0.0.1:80", 3, 0, "big");
+  WANT(f, !instance_holds(i, id_c("big"), none) && instance_holds(i, id_c("mid"), none));
+  sim_run(f->s, t_ms(4000));
+  /* a late beat counts by its own age */
+  beat(b, "e1", "10.0.0.1:80", 4, 4500, "big");
+  WANT(f, instance_holds(i, id_c("mid"), none));
+  beat(b, "e1", "10.0.0.1:80", 6, 0, "big,low+a1");
+  WANT(f, instance_holds(i, id_c("big"), none) && !instance_holds(i, id_c("mid"), none) && instance_holds(i, id_c("low"), id_c("a1")));
+  beat(b, "e1", "10.0.0.1:80", 5, 0, "mid");
+  WANT(f, instance_holds(i, id_c("big"), none) && g_hash_table_contains(i->held_before, "mid"));
+  /* a new life at the same address ends the one before, and a life that ended never comes back */
+  instance *n = beat(b, "e2", "10.0.0.1:80", 1, 0, "");
+  WANT(f, i->gone && !n->gone && instance_usable(n) && !instance_usable(i));
+  beat(b, "e1", "10.0.0.1:80", 9, 0, "big");
+  WANT(f, i->gone && !instance_holds(i, id_c("big"), none));
+  bare_free(b);
+  return true;
+}
+
+static bool failures_shun_and_a_byte_clears(fleet *f) {
+  bare *b = bare_new(f);
+  instance *i = beat(b, "e1", "10.0.0.1:80", 1, 0, "big"), *k = beat(b, "e2", "10.0.0.2:80", 1, 0, "big");
+  pick_ask q = { .to = routing_service(b->r, "s"), .model = id_c("big"), .tokens = 1000, .left_ms = 4000 };
+  enum pick_none why;
+  double est;
+  for (int n = 0; n < 3; n++) { instance_sent(i, 1000); instance_ended(i, false); }
+  WANT(f, !instance_usable(i));
+  for (int n = 0; n < 20; n++) WANT(f, pick(&b->g, &q, &why, &est) == k && why == PICK_OK);
+  WANT(f, instance_lost(i) == false || instance_copies(&b->g, id_c("s"), id_c("big"), id_c("")) == 1);
+  sim_run(f->s, t_ms(700));
+  WANT(f, instance_usable(i));
+  /* one trial at a time */
+  instance_sent(i, 1000);
+  WANT(f, !instance_usable(i));
+  instance_first(i, 1000, 80, 1);
+  instance_ended(i, true);
+  WANT(f, instance_usable(i) && !i->fails);
+  /* silence while work is there */
+  sim_run(f->s, t_ms(5000));
+  instance_sent(i, 1000);
+  sim_run(f->s, t_ms(450));
+  instance_check(i);
+  WANT(f, i->suspect);
+  q.once = true;
+  for (int n = 0; n < 20; n++) WANT(f, pick(&b->g, &q, &why, &est) == k);
+  instance_first(i, 1000, 450, 1);
+  WANT(f, !i->suspect);
+  instance_ended(i, true);
+  bare_free(b);
+  return true;
+}
+
+static bool prompts_go_where_their_parts_are(fleet *f) {
+  bare *b = bare_new(f);
+  char name[16], addr[32];
+  for (int n = 0; n < 4; n++) {
+    snprintf(name, sizeof name, "e%d", n);
+    snprintf(addr, sizeof addr, "10.0.0.%d:80", n + 1);
+    beat(b, name, addr, 1, 0, "big");
+  }
+  uint64_t chain[8], other[8];
+  double upto[8];
+  id none = id_c("");
+  WANT(f, parts_read("5c1e:800,91bd:410,e440:250", id_c("big"), none, chain, upto, 8) == 3 && near(upto[2], 1460) && near(upto[0], 800));
+  parts_read("5c1e:800,91bd:410,ffff:250", id_c("big"), none, other, upto, 8);
+  WANT(f, chain[1] == other[1] && chain[2] != other[2]);
+  parts_read("5c1e:800", id_c("big"), id_c("a1"), other, upto, 8);
+  WANT(f, chain[0] != other[0]);
+  pick_ask q = { .to = routing_service(b->r, "s"), .model = id_c("big"), .tokens = 1460, .left_ms = 4000, .prefix = "5c1e:800,91bd:410,e440:250" };
+  enum pick_none why;
+  double est, first, busy;
+  instance *home = pick(&b->g, &q, &why, &first);
+  instance_sent(home, 1460);
+  instance_first(home, 1460, 60, 1);
+  instance_ended(home, true);
+  q.prefix = "5c1e:800,91bd:410,aaaa:250";
+  for (int n = 0; n < 10; n++) WANT(f, pick(&b->g, &q, &why, &est) == home && est < first);
+  /* it is left only when what waits there costs more than reading again */
+  home->tokens = 1000;
+  WANT(f, pick(&b->g, &q, &why, &busy) == home);
+  home->tokens = 8000;
+  WANT(f, pick(&b->g, &q, &why, &busy) != home);
+  home->tokens = 0;
+  home->running = 8;
+  WANT(f, pick(&b->g, &q, &why, &busy) != home);
+  list_each(i, &b->g.instances, instance, n) i->running = 8;
+  WANT(f, !pick(&b->g, &q, &why, &busy) && why == PICK_FULL);
+  q.model = id_c("low");
+  WANT(f, !pick(&b->g, &q, &why, &busy) && why == PICK_NO_MODEL);
+  list_each(i, &b->g.instances, instance, n) i->running = 0;
+  bare_free(b);
+  return true;
+}
+
+static bool estimates_rise_with_what_waits(fleet *f) {
+  double idle = est_first(20, 0.05, 0, 1000, 0, 64, 400);
+  WANT(f, near(idle, 70));
+  WANT(f, near(est_first(20, 0.05, 2000, 1000, 0, 64, 400), 170));
+  WANT(f, est_first(20, 0.05, 0, 1000, 32, 64, 400) > idle && est_first(20, 0.05, 0, 1000, 64, 64, 400) > est_first(20, 0.05, 0, 1000, 63, 64, 400) + 5);
+  return true;
+}
+
+/* asks come all the time, and pacers change in the middle; the store sees every load up to 150 ms late */
+static bool the_store_is_never_rushed(fleet *f) {
+  const double rate = 2.6, window = 5, over = 1.1;
+  int most = pace_most(rate, window, over), limit = (int)(rate * window * over + 3);
+  tick span = { (int64_t)(window * 1e6) + 150000 }, now = { 1000000 };
+  WANT(f, most == 13);
+  for (int change = 0; change < 3; change++) {
+    GArray *log = g_array_new(FALSE, TRUE, sizeof(tick)), *began = g_array_new(FALSE, TRUE, sizeof(tick));
+    int64_t at = now.us + (int64_t)sim_draw(f->s, 12000000);
+    bool changed = false;
+    for (int step = 0; step < 6000; step++) {
+      now.us += 5000;
+      if (change && !changed && now.us > at) {
+        changed = true;
+        /* the new one heard of all, or of none and is young */
+        tick born = change == 1 ? (tick){ 0 } : now;
+        if (change == 2) g_array_set_size(log, 0);
+        pace_take_over(log, now, born, span, most);
+      }
+      if (sim_draw(f->s, 4)) continue;
+      if (pace_next(log, now, span, most).us > now.us) continue;
+      g_array_append_val(log, now);
+      tick late = t_add(now, (tick){ (int64_t)sim_draw(f->s, 150000) });
+      g_array_append_val(began, late);
+    }
+    int worst = 0;
+    for (guint k = 0; k < began->len; k++) {
+      int n = 0;
+      tick from = g_array_index(began, tick, k), till = t_add(from, (tick){ (int64_t)(window * 1e6) });
+      for (guint m = 0; m < began->len; m++) n += g_array_index(began, tick, m).us >= from.us && g_array_index(began, tick, m).us < till.us;
+      worst = MAX(worst, n);
+    }
+    WANT(f, worst <= limit);
+    WANT(f, (int)began->len > 60);
+    g_array_free(log, TRUE);
+    g_array_free(began, TRUE);
+  }
+  return true;
+}
+
+/* of what has to go, the largest goes first, and no more of it than is needed */
+static bool the_largest_goes_first(fleet *f) {
+  host_start(f->op);
+  cand all[3] = { { .model = id_c("a"), .megs = 10, .penalty = 1000, .rate = 0.1 }, { .model = id_c("b"), .megs = 30, .penalty = 1000, .rate = 0.2 }, { .model = id_c("c"), .megs = 40, .penalty = 3000, .rate = 2 } };
+  policy rule = { "cremebrulee", NULL, { 0 } };
+  int n = policy_fill(&rule, all, 3, (lack){ 35, 0 }, (uint64_t (*)(void *))f->op->w.draw, &f->op->w);
+  WANT(f, n == 2 && !strcmp(all[0].model.s, "b") && !strcmp(all[1].model.s, "a"));
+  return true;
+}
+
+const story loader_stories[] = {
+  { "room_counts_in_both_measures", room_counts_in_both_measures, 1, 1, 20 }, { "copies_share_a_rate", copies_share_a_rate, 1, 1, 20 },
+  { "orders_outlast_older_beats", orders_outlast_older_beats, 1, 1, 20 }, { "failures_shun_and_a_byte_clears", failures_shun_and_a_byte_clears, 1, 1, 20 },
+  { "prompts_go_where_their_parts_are", prompts_go_where_their_parts_are, 1, 1, 100 }, { "estimates_rise_with_what_waits", estimates_rise_with_what_waits, 1, 1, 20 },
+  { "the_store_is_never_rushed", the_store_is_never_rushed, 1, 1, 100 }, { "the_largest_goes_first", the_largest_goes_first, 1, 1, 20 },
+  { NULL, NULL, 0, 0, 0 } };
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1,9 +1,9 @@
-#include "sim.h"
+#include "kept.h"
 #include <stdio.h>
 #include <stdlib.h>
 
 typedef struct conn conn;
-struct event { tick at; uint64_t order; host *h; uint64_t life; void (*run)(event *e); conn *c; GString *text; char addr[48]; int n; head h_; bool flag; node wait; };
+struct event { tick at; uint64_t order; host *h; uint64_t life; void (*run)(event *e); conn *c; GString *text; char addr[48]; int n; head h_; bool flag; node wait; void (*fn)(void *); void *arg; };
 /* one HTTP exchange between two machines; each side lets go of it by itself */
 struct conn { sim *s; host *a, *b; uint64_t lifeA, lifeB; call *c; ask *k; int refs; bool headSent, over, torn, toldTorn; tick lastA; node n; };
 
@@ -57,7 +57,15 @@
   g_free(e);
 }
 
-static bool is_cut(sim *s, host *a, host *b) {
+static void run_fn(event *e) { e->fn(e->arg); }
+
+void sim_at(sim *s, tick at, void (*fn)(void *), void *arg) {
+  event *e = later(s, at, NULL, run_fn);
+  e->fn = fn;
+  e->arg = arg;
+}
+
+bool sim_is_cut(sim *s, host *a, host *b) {
   char k[120];
   const char *one[] = { a->self.s, "*" }, *two[] = { b->self.s, "*" };
   if (a == b) return false;
@@ -77,7 +85,7 @@
 void sim_part(sim *s, const char *a, const char *b, bool cut) { sim_cut(s, a, b, cut); sim_cut(s, b, a, cut); }
 void sim_mend(sim *s) { g_hash_table_remove_all(s->cuts); }
 
-static tick trip(sim *s) { return (tick){ s->delayMs * 1000 + (int64_t)sim_draw(s, s->spreadMs * 1000 + 1) }; }
+tick sim_trip(sim *s) { return (tick){ s->delayMs * 1000 + (int64_t)sim_draw(s, s->spreadMs * 1000 + 1) }; }
 
 static host *at_addr(sim *s, const char *addr) {
   list_each(h, &s->hosts, host, n) if (!strcmp(h->addr, addr)) return h;
@@ -96,10 +104,10 @@
   if (w->tasks.dead || !a->alive || !b) return;
   s->posts++;
   s->bytes += msg.n;
-  if (is_cut(s, a, b) || (a != b && s->loss > 0 && (double)sim_draw(s, 1000000) < s->loss * 1e6)) return;
+  if (sim_is_cut(s, a, b) || (a != b && s->loss > 0 && (double)sim_draw(s, 1000000) < s->loss * 1e6)) return;
   char k[120];
   snprintf(k, sizeof k, "%s>%s", a->self.s, b->self.s);
-  tick at = t_add(s->now, trip(s)), *last = g_hash_table_lookup(s->arrive, k);
+  tick at = t_add(s->now, sim_trip(s)), *last = g_hash_table_lookup(s->arrive, k);
   if (!last) { last = g_new0(tick, 1); g_hash_table_insert(s->arrive, g_strdup(k), last); }
   if (at.us <= last->us) at.us = last->us + 1;
   *last = at;
@@ -126,7 +134,7 @@
 static void send_caller(conn *c, int n, const char *p, size_t len, bool flag, const head *h) {
   sim *s = c->s;
   /* a channel never skips bytes: once some were lost, it is broken when the path is back */
-  if (is_cut(s, c->b, c->a)) { c->torn = true; return; }
+  if (sim_is_cut(s, c->b, c->a)) { c->torn = true; return; }
   if (c->torn) {
     if (c->toldTorn) return;
     c->toldTorn = c->over = true;
@@ -136,7 +144,7 @@
     flag = false;
     h = NULL;
   }
-  tick at = t_add(s->now, trip(s));
+  tick at = t_add(s->now, sim_trip(s));
   if (at.us <= c->lastA.us) at.us = c->lastA.us + 1;
   c->lastA = at;
   event *e = later(s, at, c->a, to_caller);
@@ -148,6 +156,7 @@
 }
 
 static void host_push(ask *a) {
+  if (a->fields) { kept_push(a); return; }
   conn *c = a->impl;
   if (!c || c->b->w.tasks.dead || a->gone || !a->began) { if (c && a->ended && !a->began && !c->b->w.tasks.dead && !c->over) { c->over = true; send_caller(c, 3, NULL, 0, false, NULL); } return; }
   if (!c->headSent) {
@@ -211,10 +220,10 @@
     if (t_past(s->now, c->c->by)) { c->c->broken = true; bell_ring(&c->c->news); }
     else if (!c->b->alive) {
       if (!c->b->dark) { c->c->broken = true; bell_ring(&c->c->news); }
-    } else if (!is_cut(s, c->a, c->b) && !is_cut(s, c->b, c->a)) {
+    } else if (!sim_is_cut(s, c->a, c->b) && !sim_is_cut(s, c->b, c->a)) {
       c->lifeB = c->b->life;
       c->c->linked = c->c->sent = true;
-      event *k = later(s, t_add(s->now, trip(s)), c->b, ask_in);
+      event *k = later(s, t_add(s->now, sim_trip(s)), c->b, ask_in);
       k->c = c;
       g_strlcpy(k->addr, "x", sizeof k->addr);
       k->life = 0;
@@ -226,24 +235,26 @@
 
 static void host_call(call *k) {
   host *a = (host *)k->w, *b = at_addr(a->s, k->addr);
+  if (k->kept || (!b && kept_door(a->s, k->addr))) { kept_call(k); return; }
   if (k->w->tasks.dead || !b) { k->broken = true; return; }
   conn *c = g_new0(conn, 1);
   c->s = a->s; c->a = a; c->b = b; c->c = k; c->lifeA = a->life; c->lifeB = b->life;
   k->impl = c;
   list_push(&a->s->conns, &c->n);
   c->refs = 2;
-  event *e = later(a->s, t_add(a->s->now, t_add(trip(a->s), trip(a->s))), a, linked);
+  event *e = later(a->s, t_add(a->s->now, t_add(sim_trip(a->s), sim_trip(a->s))), a, linked);
   e->life = 0;
   e->c = c;
 }
 
 static void host_drop(call *k) {
+  if (k->out_fields) { kept_drop(k); return; }
   conn *c = k->impl;
   if (!c) return;
   k->impl = NULL;
   c->c = NULL;
-  if (!is_cut(c->s, c->a, c->b) && !c->a->dark) {
-    event *e = later(c->s, t_add(c->s->now, trip(c->s)), c->b, gone_in);
+  if (!sim_is_cut(c->s, c->a, c->b) && !c->a->dark) {
+    event *e = later(c->s, t_add(c->s->now, sim_trip(c->s)), c->b, gone_in);
     e->life = 0;
     e->c = c;
     c->refs++;
@@ -330,6 +341,7 @@
   h->due = t_never();
   h->past = g_ptr_array_new();
   list_init(&h->inbox);
+  list_init(&h->kept);
   h->d = g_new0(disk, 1);
   h->d->loose = g_array_new(FALSE, TRUE, sizeof(loose));
   list_push(&s->hosts, &h->n);
@@ -347,6 +359,7 @@
   sched_init(&w->tasks, host_now, h);
   w->draw = host_draw; w->stamp = host_stamp; w->say = host_say; w->post = host_post;
   w->ask_push = host_push; w->call_start = host_call; w->call_drop = host_drop;
+  w->door_open = kept_door_open; w->door_shut = kept_door_shut; w->kept_drop = kept_forget;
   w->disk_open = disk_open; w->disk_read = disk_read; w->disk_write = disk_write; w->disk_sync = disk_sync;
   w->body_most = 1 << 20;
   h->alive = true;
@@ -364,6 +377,7 @@
   if (h->what == H_ALMANAC && !h->a) h->a = almanac_new(w);
   else if (h->what == H_ALMANAC) { almanac *old = h->a; h->a = almanac_new(w); g_array_free(h->a->engines, TRUE); g_array_free(h->a->marks, TRUE); h->a->engines = old->engines; h->a->marks = old->marks; g_free(old); }
   if (h->what == H_CALLER && !h->c) h->c = sonde_new(w, h->self);
+  if (h->begin) h->begin(h);
   h->due = h->s->now;
 }
 
@@ -377,8 +391,10 @@
   if (!h->alive) return;
   h->dark = dark;
   conns_end(h, dark);
+  kept_end(h);
   sched_kill(&h->w.tasks);
   if (h->w.tasks.count) { fprintf(stderr, "sim: %zu tasks of %s would not end\n", h->w.tasks.count, h->self.s); abort(); }
+  kept_ended(h);
   h->alive = false;
   h->due = t_never();
   while (!list_none(&h->inbox)) {
@@ -387,6 +403,7 @@
     if (e->c) { e->run(e); }
     event_free(e);
   }
+  if (h->finish) h->finish(h);
   if (h->m) mast_free(h->m);
   if (h->va) vane_free(h->va);
   h->m = NULL; h->va = NULL;
@@ -409,6 +426,7 @@
   s->loud = g_getenv("SIM_LOG") != NULL;
   list_init(&s->hosts);
   list_init(&s->conns);
+  list_init(&s->doors); list_init(&s->channels); list_init(&s->exchanges);
   return s;
 }
 
@@ -421,7 +439,9 @@
     if (e->c) conn_drop(e->c);
     event_free(e);
   }
+  kept_free(s);
   list_each(h, &s->hosts, host, n) {
+    if (h->dispose) h->dispose(h);
     if (h->g) gauge_free(h->g);
     for (guint i = 0; i < h->past->len; i++) gauge_free(h->past->pdata[i]);
     g_ptr_array_free(h->past, TRUE);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -4,7 +4,7 @@
 #include "stand.h"
 #include "vane.h"
 
-enum what { H_MAST, H_VANE, H_GAUGE, H_ALMANAC, H_CALLER };
+enum what { H_MAST, H_VANE, H_GAUGE, H_ALMANAC, H_CALLER, H_OTHER };
 enum { FILES_MOST = 8 };
 
 typedef struct sim sim;
@@ -38,6 +38,11 @@
   unsigned slots;
   knobs k;
   uint64_t seqSeen, rnd;
+  /** Called at the end of a start, in the middle of an end once no task is left, and when the host goes for good. */
+  void (*begin)(struct host *h), (*finish)(struct host *h), (*dispose)(struct host *h);
+  void *extra;
+  /** Idle channels that this process keeps. */
+  node kept;
 } host;
 
 /** A fleet in memory under virtual time; the same seed gives the same run. */
@@ -45,7 +50,7 @@
   tick now;
   uint64_t rnd, turns;
   GSequence *events;
-  node hosts, conns;
+  node hosts, conns, doors, channels, exchanges;
   uint64_t order;
   GHashTable *cuts, *arrive;
   double loss;
@@ -76,6 +81,14 @@
 void host_wake(host *h);
 /** Gives a machine an empty disk. */
 void host_wipe(host *h);
+/** Runs something at an instant, whatever the hosts do; what is left when the sim goes is not run. */
+void sim_at(sim *s, tick at, void (*fn)(void *), void *arg);
+/** True when the way from a to b is cut. */
+bool sim_is_cut(sim *s, host *a, host *b);
+/** The time that one message takes, drawn. */
+tick sim_trip(sim *s);
+/** Puts an answer that nobody asked for, or bytes that are none (status 0), on an ask's channel, before its answer or after it. */
+void sim_stray(ask *a, int status, const fields *f, str body);
 /** Cuts, or mends, one direction between two machines; NULL stands for all others. */
 void sim_cut(sim *s, const char *from, const char *to, bool cut);
 /** Cuts or mends both directions. */
