Placement on registered engines follows the eviction policy of the policy resource

Cause: the loader named the policy cremebrulee itself, so that a policy put by the operators changed nothing on engines that register. Test: the_policy_in_force_chooses (lru and an own expression were passed over before). When a thing was last used is the whole fleet's word now, as in place.c; only lru and expressions with idle read it.

--- a/lib/gate/loader.c
+++ b/lib/gate/loader.c
@@ -73,7 +73,10 @@
       int copies = MAX(1, instance_copies(g, i->service, c->model, c->adapter));
       c->rate = rate_of(g, c->model, c->adapter) / copies;
       c->penalty = time_of(g, s, c->model, c->adapter, false);
-      c->used = r->last_used;
+      char key[140];
+      history_key(key, sizeof key, c->model, c->adapter);
+      tick used = history_used(&g->v->h, key);
+      c->used = k < 0 && r->last_used.us > used.us ? r->last_used : used;
       c->busy = instance_runs(i, c->model, c->adapter);
       bool young = k < 0 && r->up_at.us && !t_past(now, t_add(r->up_at, t_ms(YOUNG_MS))) && r->last_used.us < r->up_at.us;
       c->barred = r->unloading || young || wanted_here(i, c->model, c->adapter) || (k < 0 && !id_none(adapter) && id_eq(r->model, model));
@@ -84,6 +87,12 @@
 
 static uint64_t chance(void *w) { return ((world *)w)->draw(w); }
 
+/* the policy resource says by what the least worth is told; the paper's rule stands until there is one */
+static policy policy_of(gate *g) {
+  const config *c = g->v->now;
+  return c ? (policy){ c->eviction, config_formula(c, c->eviction), now_of(g) } : (policy){ "cremebrulee", NULL, now_of(g) };
+}
+
 static lack lack_of(const service *s, double mb, unsigned slots, double add_mb, unsigned add_slots) {
   double over = mb + add_mb - s->weights_mb;
   lack l = { over > 0 ? (uint64_t)ceil(over) : 0, slots + add_slots > s->adapter_slots ? slots + add_slots - s->adapter_slots : 0 };
@@ -109,7 +118,7 @@
   if (add > s->weights_mb || more > s->adapter_slots) return -1;
   lack l = lack_of(s, mb, slots, add, more);
   if (!l.megs && !l.slots) return 0;
-  policy rule = { "cremebrulee", NULL, now_of(i->g) };
+  policy rule = policy_of(i->g);
   int got = policy_fill(&rule, all, n, l, chance, i->g->v->s.w);
   if (got < 0) return -1;
   double cost = 0;
@@ -437,7 +446,7 @@
     int n = residents_as(i, s, model, adapter, all, &held_mb, &held_slots);
     lack l = lack_of(s, held_mb, held_slots, mb, slots);
     if (!l.megs && !l.slots) return OK;
-    policy rule = { "cremebrulee", NULL, now_of(i->g) };
+    policy rule = policy_of(i->g);
     int got = policy_fill(&rule, all, n, l, chance, i->g->v->s.w);
     if (got <= 0) return err_set(x, E_ROOM, "nothing on %s may be unloaded for %s now", i->self.s, model.s);
     int r = unload(i, all[0].model, all[0].adapter, x);
--- a/tests/loader.c
+++ b/tests/loader.c
@@ -289,6 +289,34 @@
   return true;
 }
 
+/* what has to go is chosen by the policy resource that is in force, the operators' own expressions too */
+static bool the_policy_in_force_chooses(fleet *f) {
+  bare *b = bare_new(f);
+  const service *s = routing_service(b->r, "s");
+  instance *i = beat(b, "e1", "10.0.0.1:80", 1, 0, "big,mid");
+  asked(b, "big", "", 60);
+  sim_run(f->s, t_ms(9000));
+  asked(b, "mid", "", 1);
+  static const struct { const char *policy; bool big; } given[] = {
+    { NULL, false }, { "{\"eviction\":\"cremebrulee\"}", false }, { "{\"eviction\":\"lru\"}", true }, { "{\"eviction\":\"popularity\"}", false },
+    { "{\"eviction\":\"own\",\"utilities\":[{\"id\":\"own\",\"worth\":\"0 - megs\"}]}", true } };
+  for (size_t k = 0; k < G_N_ELEMENTS(given); k++) {
+    err e = { 0 };
+    json *p = given[k].policy ? json_read(str_of(given[k].policy), &e) : NULL;
+    const json *res[RES_COUNT] = { [RES_POLICY] = p };
+    b->v.now = p ? config_make(res, &e) : NULL;
+    double mb;
+    unsigned slots;
+    double cost = place_cost(i, s, id_c("new"), id_c(""), &mb, &slots);
+    if (given[k].big != (cost > 500)) breach(f, "under %s the cost of what goes is %g", given[k].policy ? given[k].policy : "none", cost);
+    if (b->v.now) config_free(b->v.now);
+    b->v.now = NULL;
+    json_free(p);
+  }
+  bare_free(b);
+  return true;
+}
+
 /* silence is no end: a later beat brings an engine back; a sign-off is one */
 static bool silent_engines_come_back(fleet *f) {
   bare *b = bare_new(f);
@@ -314,5 +342,5 @@
   { "orders_outlast_older_beats", orders_outlast_older_beats, 1, 1, 20 }, { "failures_shun_and_a_byte_clears", failures_shun_and_a_byte_clears, 1, 1, 20 },
   { "prompts_go_where_their_parts_are", prompts_go_where_their_parts_are, 1, 1, 100 }, { "estimates_rise_with_what_waits", estimates_rise_with_what_waits, 1, 1, 20 },
   { "the_store_is_never_rushed", the_store_is_never_rushed, 1, 1, 100 }, { "the_largest_goes_first", the_largest_goes_first, 1, 1, 20 },
-  { "silent_engines_come_back", silent_engines_come_back, 1, 1, 20 },
+  { "silent_engines_come_back", silent_engines_come_back, 1, 1, 20 }, { "the_policy_in_force_chooses", the_policy_in_force_chooses, 1, 1, 20 },
   { NULL, NULL, 0, 0, 0 } };
