The in-memory fleet and its checkers move to stand/, so that programs may use them

sim, kept, fleet, check, gateway.h, gateway_fleet and gateway_check were in tests/. Programs link no CUnit any more (only the stories do). A fleet of gateways can be put together piece by piece (gw_bare, gw_engine, gw_people); the budget's checker takes the services from the engines' records instead of three names.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 CC ?= gcc
 B ?= build
-PKG = glib-2.0 yajl libprotobuf-c libwebsockets cunit
+PKG = glib-2.0 yajl libprotobuf-c libwebsockets
 CFLAGS ?= -O2 -g
 WARN = -std=gnu11 -Wall -Wextra -Werror
 INC = -Ilib/site -Ilib/mast -Ilib/vane -Ilib/gate -Iplatform -Istand -Itests -I$(B) $(shell pkg-config --cflags $(PKG))
@@ -24,7 +24,7 @@
 
 $(B)/%.o: %.c $(B)/wire.pb-c.h
 	@mkdir -p $(dir $@)
-	@$(CC) $(CFLAGS) $(WARN) $(INC) -MMD -c $< -o $@
+	@$(CC) $(CFLAGS) $(WARN) $(INC) -MMD -MP -c $< -o $@
 
 $(B)/libsite.a: $(SITE)
 	@rm -f $@; ar rcs $@ $^
@@ -39,7 +39,7 @@
 $(B)/libstand.a: $(STAND)
 	@rm -f $@; ar rcs $@ $^
 
-OURS = $(B)/libplatform.a $(B)/libgate.a $(B)/libmast.a $(B)/libvane.a $(B)/libstand.a $(B)/libsite.a
+OURS = $(B)/libplatform.a $(B)/libstand.a $(B)/libgate.a $(B)/libmast.a $(B)/libvane.a $(B)/libsite.a
 $(B)/bin/%: $(B)/bin/%.o $(OURS)
 	@$(CC) $(CFLAGS) $< $(OURS) $(LIBS) -o $@
 
@@ -49,10 +49,13 @@
 
 $(B)/bin/stories: $(patsubst %.c,$(B)/%.o,$(wildcard tests/*.c)) $(OURS)
 	@mkdir -p $(B)/bin
-	@$(CC) $(CFLAGS) $(patsubst %.c,$(B)/%.o,$(wildcard tests/*.c)) $(OURS) $(LIBS) -o $@
+	@$(CC) $(CFLAGS) $(patsubst %.c,$(B)/%.o,$(wildcard tests/*.c)) $(OURS) $(LIBS) -lcunit -o $@
+
+# headers that moved from here are no reason to stop
+tests/%.h: ;
 
 BENCH = growth load policies
-$(addprefix $(B)/bin/,$(BENCH)): $(B)/bin/%: $(B)/bench/%.o $(B)/tests/sim.o $(B)/tests/kept.o $(B)/tests/fleet.o $(B)/tests/check.o $(OURS)
+$(addprefix $(B)/bin/,$(BENCH)): $(B)/bin/%: $(B)/bench/%.o $(OURS)
 	@mkdir -p $(B)/bin
 	@$(CC) $(CFLAGS) $^ $(LIBS) -o $@
 
--- a/tests/fleet.h
+++ b/stand/fleet.h
@@ -1,5 +1,5 @@
-#ifndef TESTS_FLEET_H
-#define TESTS_FLEET_H
+#ifndef STAND_FLEET_H
+#define STAND_FLEET_H
 #include "sim.h"
 
 /** A fleet of the usual shape: masts and vanes over three areas, engines, a platform, callers and an operator. */
--- a/tests/gateway.h
+++ b/stand/gateway.h
@@ -1,11 +1,11 @@
-#ifndef TESTS_GATEWAY_H
-#define TESTS_GATEWAY_H
+#ifndef STAND_GATEWAY_H
+#define STAND_GATEWAY_H
 #include "client.h"
 #include "gate.h"
 #include "instance.h"
-#include "stories.h"
+#include "fleet.h"
 
-enum { GW_ENGINES = 12, GW_MODELS = 16, DRAIN_MS = 2000, GRACE_S = 8, CONTACT_MS = 3000, APPLY_MS = 2000, REVERT_MS = 250, LEASE_MS = 3000, THAW_MS = 300,
+enum { GW_ENGINES = 64, GW_MODELS = 16, DRAIN_MS = 2000, GRACE_S = 8, CONTACT_MS = 3000, APPLY_MS = 2000, REVERT_MS = 250, LEASE_MS = 3000, THAW_MS = 300,
        RETRY_WINDOW_S = 10, RETRY_SLACK = 20, CEILING_WINDOW_S = 5, LOSS_SLACK_MS = 200, RECOVERY_S = 12 };
 #define RETRY_RATIO 0.2
 #define CEILING_EXCESS 1.1
@@ -24,7 +24,7 @@
   em_store store;
   em_model models[GW_MODELS];
   size_t model_count, engines, plain;
-  unit *engine[GW_ENGINES + 4], *gates[16], *masts[8];
+  unit *engine[GW_ENGINES + 4], *gates[64], *masts[8];
   host *outside, *op_host;
   em_balancer *b;
   em_client *c;
@@ -35,8 +35,18 @@
   double loads_per_s;
   uint64_t version;
   GString *extra_routes;
+  /** Given by whoever brings a fleet of his own: the callers' kinds, and the text of a configuration. */
+  void (*callers)(gw *g);
+  char *(*config)(gw *g, uint64_t version);
+  void *ctx;
 };
 
+/** Masts with control doors and gateways; engines and then people have to be added. */
+gw *gw_bare(fleet *f);
+/** Adds an engine, which has the plan's place and its own disk; first names what it holds from the start (or NULL). */
+unit *gw_engine(gw *g, id area, em_plan plan, GPtrArray *first);
+/** Adds the callers with their balancer, and the operator. */
+void gw_people(gw *g);
 gw *gw_new(fleet *f, size_t model_engines, size_t plain_engines);
 /** Starts all, puts the first configuration in force, waits until gateways are ready. */
 bool gw_up(gw *g);
@@ -77,5 +87,4 @@
 /** 15 RECOVER: after an instant, and the time to recover, a quarter is served again. */
 void gate_recover(gw *g, tick loss, tick back);
 void gate_check(gw *g);
-extern const story gateway_stories[];
 #endif
--- a/tests/gateway_check.c
+++ b/stand/gateway_check.c
@@ -337,21 +337,26 @@
 }
 
 void gate_budget(gw *g) {
-  static const char *const services[] = { "llm", "ledger", "spare" };
+  GPtrArray *services = g_ptr_array_new();
+  for (guint i = 0; i < g->log->runs->len; i++) {
+    char *name = ((em_run *)g->log->runs->pdata[i])->service.s;
+    if (!g_ptr_array_find_with_equal_func(services, name, g_str_equal, NULL)) g_ptr_array_add(services, name);
+  }
   GArray *v = versions(g);
-  for (size_t s = 0; s < G_N_ELEMENTS(services); s++) {
+  for (guint s = 0; s < services->len; s++) {
+    const char *service = services->pdata[s];
     GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
     GArray *extra = g_array_new(FALSE, TRUE, sizeof(tick)), *came = g_array_new(FALSE, TRUE, sizeof(tick));
     for (guint i = 0; i < g->log->runs->len; i++) {
       em_run *r = g->log->runs->pdata[i];
-      if (strcmp(r->service.s, services[s])) continue;
+      if (strcmp(r->service.s, service)) continue;
       if (g_hash_table_contains(seen, r->request)) g_array_append_val(extra, r->came);
       else g_hash_table_add(seen, r->request);
     }
     for (guint i = 0; i < g->c->tries->len; i++) {
       em_try *y = g->c->tries->pdata[i];
       bool to = false;
-      for (guint k = 0; k < v->len && !to; k++) to = lets(g_array_index(v, allowed, k).j, y->of->kind->host, y->target, services[s]);
+      for (guint k = 0; k < v->len && !to; k++) to = lets(g_array_index(v, allowed, k).j, y->of->kind->host, y->target, service);
       if (to) g_array_append_val(came, y->sent);
     }
     g_array_sort(extra, tick_cmp);
@@ -360,7 +365,7 @@
       int64_t from = g_array_index(extra, tick, i).us;
       int n = between(extra, from, from + w), all = MAX(between(came, from, from + w), MAX(between(came, from - w, from), between(came, from - w / 2, from + w / 2)));
       if (n <= RETRY_RATIO * all + RETRY_SLACK) continue;
-      breach(g->f, "BUDGET %d extra arrivals at %s for %d requests in %d s", n, services[s], all, RETRY_WINDOW_S);
+      breach(g->f, "BUDGET %d extra arrivals at %s for %d requests in %d s", n, service, all, RETRY_WINDOW_S);
       break;
     }
     g_hash_table_destroy(seen);
@@ -368,6 +373,7 @@
     g_array_free(came, TRUE);
   }
   versions_free(v);
+  g_ptr_array_free(services, TRUE);
 }
 
 void gate_order(gw *g) {
--- a/tests/gateway_fleet.c
+++ b/stand/gateway_fleet.c
@@ -124,6 +124,7 @@
   int zones = MIN(3, g->f->vanes);
   for (int i = 0; i < zones; i++) g->c->areas[i] = g->f->area[i];
   g->c->area_count = (unsigned)zones;
+  if (g->callers) { g->callers(g); return; }
   g->chat = em_client_kind(g->c, (em_kind){ .name = "chat", .host = "front.example", .path = "/chat/v1/", .mode = EM_STREAM, .per_s = 6, .tokens_in = 900, .tokens_shared = 400, .zipf = 1.1,
     .tokens_out = 24, .event_tokens = 2, .more_tries = 1, .priority = 0, .deadline_ms = 5000, .target_ms = 1000, .gap_ms = 400, .models = models_from(9) });
   g->note = em_client_kind(g->c, (em_kind){ .name = "note", .host = "front.example", .path = "/note/", .mode = EM_STREAM, .resumable = true, .per_s = 2, .tokens_in = 500, .tokens_shared = 300, .zipf = 1.1,
@@ -140,17 +141,56 @@
   g->o->masts = all_masts(g);
 }
 
-gw *gw_new(fleet *f, size_t engines, size_t plain) {
+gw *gw_bare(fleet *f) {
   gw *g = g_new0(gw, 1);
   g->f = f;
   g->s = f->s;
   g->log = em_log_new();
   g->store.most = 3;
-  g->engines = engines; g->plain = plain;
   g->loads_per_s = 2;
   g->extra_routes = g_string_new(NULL);
   g->enders = g_ptr_array_new_with_free_func(g_free);
   g->troubles = g_array_new(FALSE, TRUE, sizeof(trouble));
+  for (int i = 0; i < f->masts; i++) g->masts[i] = unit_on(g, f->mast[i], mast_begin, NULL);
+  for (int i = 0; i < f->vanes; i++) {
+    host *h = f->vane[i];
+    h->v.gateway = h->v.loose = true;
+    h->v.platform[0] = 0;
+    g->gates[i] = unit_on(g, h, gate_begin, gate_finish);
+  }
+  for (int i = 0; i < f->masts; i++) f->mast[i]->v.loose = true;
+  return g;
+}
+
+void gw_people(gw *g) {
+  g->outside = sim_host(g->s, H_OTHER, "outside", "mid", "127.0.0.50:1");
+  g->outside->extra = g;
+  g->outside->begin = outside_begin;
+  g->op_host = sim_host(g->s, H_OTHER, "gw-operator", "mid", "127.0.0.51:1");
+  g->op_host->extra = g;
+  g->op_host->begin = op_begin;
+}
+
+unit *gw_engine(gw *g, id area, em_plan plan, GPtrArray *first) {
+  char name[32], addr[48];
+  size_t i = g->engines + g->plain;
+  snprintf(name, sizeof name, "unit-%zu", i + 1);
+  snprintf(addr, sizeof addr, "127.0.5.%zu:9000", i + 1);
+  host *h = sim_host(g->s, H_OTHER, name, area.s, addr);
+  unit *u = g->engine[i] = unit_on(g, h, engine_begin, engine_finish);
+  u->plan = plan;
+  u->plan.area = area;
+  ip_of(h, u->plan.ip, sizeof u->plan.ip);
+  u->plan.masts = all_masts(g);
+  u->plan.disk = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  u->plan.first = u->start = first;
+  if (plan.model_count) g->engines++;
+  else g->plain++;
+  return u;
+}
+
+gw *gw_new(fleet *f, size_t engines, size_t plain) {
+  gw *g = gw_bare(f);
   g->model_count = 14;
   for (size_t i = 0; i < g->model_count; i++) {
     em_model *m = &g->models[i];
@@ -160,43 +200,24 @@
     m->adapters = 3;
     m->adapter_mb = 40;
   }
-  for (int i = 0; i < f->masts; i++) g->masts[i] = unit_on(g, f->mast[i], mast_begin, NULL);
-  for (int i = 0; i < f->vanes; i++) {
-    host *h = f->vane[i];
-    h->v.gateway = h->v.loose = true;
-    h->v.platform[0] = 0;
-    g->gates[i] = unit_on(g, h, gate_begin, gate_finish);
-  }
-  for (int i = 0; i < f->masts; i++) f->mast[i]->v.loose = true;
   static const char *const first[] = { "m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8" };
   for (size_t i = 0; i < engines + plain; i++) {
-    char name[32], addr[48];
-    snprintf(name, sizeof name, "unit-%zu", i + 1);
-    snprintf(addr, sizeof addr, "127.0.5.%zu:9000", i + 1);
-    host *h = sim_host(f->s, H_OTHER, name, area_names[i % 3], addr);
-    unit *u = g->engine[i] = unit_on(g, h, engine_begin, engine_finish);
-    em_plan *p = &u->plan;
     bool llm = i < engines;
-    *p = (em_plan){ .service = id_c(llm ? "llm" : i == engines + plain - 1 && plain > 2 ? "spare" : "ledger"), .area = h->area, .version = id_c("v1"), .port = 9000, .slots = llm ? 16 : 6, .queue = llm ? 6 : 4, .channels = llm ? 200 : 110,
+    em_plan p = { .service = id_c(llm ? "llm" : i == engines + plain - 1 && plain > 2 ? "spare" : "ledger"), .version = id_c("v1"), .port = 9000, .slots = llm ? 16 : 6, .queue = llm ? 6 : 4, .channels = llm ? 200 : 110,
       .beat_ms = 1200, .drain_ms = DRAIN_MS, .work_ms = 30, .idle_ms = 5000, .step_ms = 9, .per_ms = 0.2, .read_per_ms = 20, .event_tokens = 2, .kv_tokens = 60000,
       .weights_mb = 83000, .adapter_slots = 4, .words = &dialect_own, .log = g->log, .store = &g->store };
-    ip_of(h, p->ip, sizeof p->ip);
-    p->masts = all_masts(g);
-    p->disk = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    if (!llm) continue;
-    p->models = g->models;
-    p->model_count = g->model_count;
-    p->first = u->start = g_ptr_array_new();
-    /* the busy ones on many engines, the others on one each */
-    g_ptr_array_add(p->first, (char *)first[i % 2]);
-    for (size_t k = 2; k < G_N_ELEMENTS(first); k++) if (k % engines == i && p->first->len < 3) g_ptr_array_add(p->first, (char *)first[k]);
+    GPtrArray *start = NULL;
+    if (llm) {
+      p.models = g->models;
+      p.model_count = g->model_count;
+      start = g_ptr_array_new();
+      /* the busy ones on many engines, the others on one each */
+      g_ptr_array_add(start, (char *)first[i % 2]);
+      for (size_t k = 2; k < G_N_ELEMENTS(first); k++) if (k % engines == i && start->len < 3) g_ptr_array_add(start, (char *)first[k]);
+    }
+    gw_engine(g, f->area[i % 3], p, start);
   }
-  g->outside = sim_host(f->s, H_OTHER, "outside", "mid", "127.0.0.50:1");
-  g->outside->extra = g;
-  g->outside->begin = outside_begin;
-  g->op_host = sim_host(f->s, H_OTHER, "gw-operator", "mid", "127.0.0.51:1");
-  g->op_host->extra = g;
-  g->op_host->begin = op_begin;
+  gw_people(g);
   return g;
 }
 
@@ -252,7 +273,7 @@
 bool gw_up(gw *g) {
   list_each(h, &g->s->hosts, host, n) host_start(h);
   sim_run(g->s, t_ms(2500));
-  char *text = gw_config(g, 1, NULL);
+  char *text = g->config ? g->config(g, 1) : gw_config(g, 1, NULL);
   em_change *k = gw_put(g, 1, 0, text, true);
   g_free(text);
   g->version = 1;
--- a/tests/kept.h
+++ b/stand/kept.h
@@ -1,5 +1,5 @@
-#ifndef TESTS_KEPT_H
-#define TESTS_KEPT_H
+#ifndef STAND_KEPT_H
+#define STAND_KEPT_H
 #include "sim.h"
 
 /* Doors and kept channels of the fleet in memory. A channel is a pair of lives of two processes and carries one exchange at a
--- a/tests/sim.h
+++ b/stand/sim.h
@@ -1,5 +1,5 @@
-#ifndef TESTS_SIM_H
-#define TESTS_SIM_H
+#ifndef STAND_SIM_H
+#define STAND_SIM_H
 #include "mast.h"
 #include "stand.h"
 #include "vane.h"
--- a/tests/gateway.c
+++ b/tests/gateway.c
@@ -1,4 +1,5 @@
 #include "gateway.h"
+#include "stories.h"
 #include <stdio.h>
 #include <stdlib.h>
 
