--- a/tests/operators.c
+++ b/tests/operators.c
@@ -104,13 +104,24 @@
   doctor_says(f, D_UNREADY, "a gateway that drains");
   sim_run(g->s, t_ms(GRACE_S * 1000));
   if (!f->vane[0]->alive) host_start(f->vane[0]);
-  /* the holder of the pace dies with all others but one, which is alone in no majority */
+  /* orders that get lost again and again */
+  for (size_t i = 0; i < 4; i++) g->engine[i]->plan.k.drop_orders = 100000;
+  bool fails = false;
+  for (int t = 0; t < 200 && !fails; t++) {
+    char name[16];
+    snprintf(name, sizeof name, "m%d", 6 + t % 8);
+    em_client_send(g->c, g->note, name);
+    sim_run(g->s, t_ms(1000));
+    for (int i = 0; i < f->vanes; i++) fails |= f->vane[i]->alive && g->gates[i]->gate->load_fails >= 3;
+  }
+  doctor_says(f, D_LOADS, "loads that fail");
+  for (size_t i = 0; i < 4; i++) g->engine[i]->plan.k.drop_orders = 0;
+  /* the holder of the pace dies, and no other has it yet */
   sim_run(g->s, t_ms(6000));
   gw_quiet(g);
-  for (int i = 0; i < f->vanes; i++) if (f->vane[i]->alive) host_kill(f->vane[i]);
-  sim_run(g->s, t_ms(6000));
-  host_start(f->vane[0]);
-  sim_run(g->s, t_ms(300));
+  host *h = fleet_holder(f, "pacer");
+  if (!h) breach(f, "nobody holds the pace");
+  else { host_kill(h); doctor_says(f, D_PACER, "a pacer that died"); }
   bool ok = !f->faults->len;
   gw_free(g);
   return ok;
