--- a/Makefile
+++ b/Makefile
@@ -73,8 +73,9 @@
 export ASAN_OPTIONS = detect_stack_use_after_return=0
 export SEEDS ?= 6
 
-# the stories under sanitizers, then a smoke over real processes
+# names and codes, the stories under sanitizers, then a smoke over real processes
 check:
+	scripts/words
 	$(MAKE) -s -j$$(nproc) B=build-san CFLAGS="$(SAN)" all build-san/bin/stories
 	$(MAKE) -s -j$$(nproc) all
 	BUILD=build-san LIMIT=3000 scripts/stories-all
--- a/lib/gate/gate.h
+++ b/lib/gate/gate.h
@@ -11,7 +11,7 @@
 typedef struct resident {
   node n;
   id model;
-  uint64_t edition;
+  uint64_t version;
   GPtrArray *adapters;      /* char *, owned */
   tick up_at, last_used;    /* last_used: when this node last sent a request for it */
   bool unloading;           /* ordered away by this node; no new work, and its room still counts */
@@ -22,7 +22,7 @@
 typedef struct instance {
   node n;
   struct gate *g;
-  id self, service, area, edition;
+  id self, service, area, version;
   char addr[48];
   unsigned slots;
   uint64_t count;           /* of its latest beat */
--- a/lib/gate/instances.c
+++ b/lib/gate/instances.c
@@ -142,7 +142,7 @@
       r->up_at = (tick){ 0 };
       moved = true;
     }
-    r->edition = m[k]->edition;
+    r->version = m[k]->version;
     for (size_t j = 0; j < m[k]->n_adapters; j++) {
       const char *a = m[k]->adapters[j];
       if (adapter_at(r, a) >= 0 || !id_fits(str_of(a)) || contradicts(i, model, id_c(a), true, at, guard_ms)) continue;
@@ -205,7 +205,7 @@
   i->told_at = now;
   i->count = w->count;
   i->beat_at = at;
-  i->edition = id_c(w->edition ? w->edition : "");
+  i->version = id_c(w->version ? w->version : "");
   i->slots = w->slots;
   i->cold_till = w->coldms ? t_add(at, t_ms((int64_t)MIN(w->coldms, 100000000))) : (tick){ 0 };
   instance_models(i, w->models, w->n_models, at, SETTLE_MS);
@@ -466,7 +466,7 @@
     if (r->unloading) continue;
     wire__resident__init(&m[k]);
     m[k].model = r->model.s;
-    m[k].edition = r->edition;
+    m[k].version = r->version;
     m[k].n_adapters = r->adapters->len;
     m[k].adapters = (char **)r->adapters->pdata;
     mp[k] = &m[k];
--- a/lib/gate/loader.c
+++ b/lib/gate/loader.c
@@ -322,7 +322,7 @@
     const json *o = json_at(m, k), *a = json_get(o, "adapters");
     wire__resident__init(&r[k]);
     r[k].model = (char *)json_text(o, "name", "");
-    r[k].edition = (uint64_t)MAX(0, json_num(o, "version", 0));
+    r[k].version = (uint64_t)MAX(0, json_num(o, "version", 0));
     r[k].n_adapters = a ? json_count(a) : 0;
     r[k].adapters = g_new(char *, r[k].n_adapters + 1);
     for (size_t t = 0; t < r[k].n_adapters; t++) {
--- a/lib/gate/status.c
+++ b/lib/gate/status.c
@@ -9,14 +9,14 @@
   bool first = true;
   list_each(i, &g->instances, instance, n) {
     if (i->gone) continue;
-    json_f(to, "%s{\"id\":\"%s\",\"service\":\"%s\",\"area\":\"%s\",\"edition\":\"%s\",\"addr\":\"%s\",\"slots\":%u,\"leaving\":%s,\"usable\":%s,\"suspect\":%s,\"running\":%d,\"othersRunning\":%d,"
-           "\"tokens\":%.0f,\"fails\":%d,\"beatMs\":%" PRId64 ",\"heardMs\":%" PRId64 ",\"firstMs\":%.1f,\"msPerToken\":%.4f,\"models\":[",
-           first ? "" : ",", i->self.s, i->service.s, i->area.s, i->edition.s, i->addr, i->slots, yes(i->leaving), yes(instance_usable(i)), yes(i->suspect), i->running, i->others_running,
+    json_f(to, "%s{\"id\":\"%s\",\"service\":\"%s\",\"area\":\"%s\",\"version\":\"%s\",\"addr\":\"%s\",\"slots\":%u,\"leaving\":%s,\"usable\":%s,\"suspect\":%s,\"running\":%d,\"othersRunning\":%d,"
+           "\"tokens\":%.0f,\"fails\":%d,\"lastBeatMs\":%" PRId64 ",\"heardMs\":%" PRId64 ",\"firstMs\":%.1f,\"msPerToken\":%.4f,\"models\":[",
+           first ? "" : ",", i->self.s, i->service.s, i->area.s, i->version.s, i->addr, i->slots, yes(i->leaving), yes(instance_usable(i)), yes(i->suspect), i->running, i->others_running,
            i->tokens, i->fails, ago(now, i->beat_at), ago(now, i->last_byte), i->base_ms, i->ms_per_token);
     first = false;
     bool f = true;
     list_each(r, &i->residents, resident, n) {
-      json_f(to, "%s{\"model\":\"%s\",\"edition\":%" PRIu64 ",\"unloading\":%s,\"running\":%d,\"adapters\":[", f ? "" : ",", r->model.s, r->edition, yes(r->unloading), r->running);
+      json_f(to, "%s{\"model\":\"%s\",\"version\":%" PRIu64 ",\"unloading\":%s,\"running\":%d,\"adapters\":[", f ? "" : ",", r->model.s, r->version, yes(r->unloading), r->running);
       for (guint k = 0; k < r->adapters->len; k++) json_f(to, "%s\"%s\"", k ? "," : "", (const char *)r->adapters->pdata[k]);
       g_string_append(to, "]}");
       f = false;
--- a/lib/mast/control.c
+++ b/lib/mast/control.c
@@ -254,7 +254,7 @@
   w->service = (char *)json_text(j, "service", "");
   w->addr = (char *)json_text(j, "address", "");
   w->area = (char *)json_text(j, "zone", "");
-  w->edition = (char *)json_text(j, "version", "");
+  w->version = (char *)json_text(j, "version", "");
   if (!id_fits(str_of(w->service))) return err_set(e, E_NAME, "service: missing, or no name");
   if (!addr_fits(w->addr)) return err_set(e, E_ENV_ADDR, "address: not an ip:port");
   if (!id_fits(str_of(w->area))) w->area = "";
@@ -280,7 +280,7 @@
     Wire__Resident *r = w->models[w->n_models++] = &all[i];
     wire__resident__init(r);
     r->model = (char *)name;
-    r->edition = (uint64_t)CLAMP(json_num(k, "version", 0), 0, 1e15);
+    r->version = (uint64_t)CLAMP(json_num(k, "version", 0), 0, 1e15);
     size_t have = list && list->kind == J_ARR ? json_count(list) : 0;
     if (!have) continue;
     r->adapters = g_new(char *, have);
--- a/lib/mast/registry.c
+++ b/lib/mast/registry.c
@@ -28,11 +28,11 @@
 
 /* over all that a node must know, but for what only time changes */
 static uint64_t sum_of(const Wire__Engine *w, bool leaving) {
-  uint64_t h = add(add(add(add(leaving, w->service), w->addr), w->area), w->edition);
+  uint64_t h = add(add(add(add(leaving, w->service), w->addr), w->area), w->version);
   h = hash_of(&w->slots, sizeof w->slots, h);
   for (size_t i = 0; i < w->n_models; i++) {
     const Wire__Resident *m = w->models[i];
-    h = hash_of(&m->edition, sizeof m->edition, add(h, m->model));
+    h = hash_of(&m->version, sizeof m->version, add(h, m->model));
     for (size_t k = 0; k < m->n_adapters; k++) h = add(h, m->adapters[k]);
   }
   return h;
--- a/stand/instance.c
+++ b/stand/instance.c
@@ -72,7 +72,7 @@
 }
 
 static void report_text(em_engine *e, GString *b) {
-  g_string_append(b, "{\"phase\":\"combined\",\"models\":");
+  g_string_append(b, "{\"phase\":\"both\",\"models\":");
   models_json(e, b);
   json_f(b, ",\"busy\":%s,\"count\":%" PRIu64 ",\"waiting\":%u,\"running\":%u,\"kvUsed\":%.0f,\"kvTotal\":%.0f,\"carried\":0}",
          e->busy ? "true" : "false", e->orders, e->waiting, e->busy_slots, e->kv_running, e->p->kv_tokens);
@@ -561,7 +561,7 @@
 static bool beat(em_engine *e, bool sign_off) {
   em_plan *p = e->p;
   GString *b = g_string_new(NULL), *got = g_string_new(NULL);
-  json_f(b, "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"%s\",\"slots\":%u,\"state\":\"%s\",\"coldMs\":0,\"phase\":\"combined\",\"models\":",
+  json_f(b, "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"%s\",\"slots\":%u,\"state\":\"%s\",\"coldMs\":0,\"phase\":\"both\",\"models\":",
          p->service.s, e->addr, p->area.s, p->version.s, p->slots, e->leaving ? "leaving" : "ready");
   models_json(e, b);
   if (e->leaving && e->leaves_ms) {
--- a/tests/bed.c
+++ b/tests/bed.c
@@ -38,14 +38,14 @@
   Wire__Resident m = WIRE__RESIDENT__INIT, *mp = &m;
   Wire__NewsBack n = WIRE__NEWS_BACK__INIT;
   m.model = (char *)models[0].name.s;
-  m.edition = 1;
+  m.version = 1;
   b->beats++;
   for (int i = 0; i < BED_ENGINES; i++) {
     if (!b->e[i] || b->mute[i]) continue;
     Wire__Engine *w = ep[n.n_engines] = &e[n.n_engines];
     n.n_engines++;
     wire__engine__init(w);
-    w->id = b->e[i]->self.s; w->service = b->plan[i].service.s; w->addr = b->e[i]->addr; w->area = b->plan[i].area.s; w->edition = "v1";
+    w->id = b->e[i]->self.s; w->service = b->plan[i].service.s; w->addr = b->e[i]->addr; w->area = b->plan[i].area.s; w->version = "v1";
     w->slots = b->plan[i].slots; w->count = b->beats;
     if (b->plan[i].model_count) { w->n_models = 1; w->models = &mp; }
   }
--- a/tests/registry.c
+++ b/tests/registry.c
@@ -9,7 +9,7 @@
 
 static Wire__Engine beat_of(const char *who, const char *addr, uint64_t count, bool leaving) {
   Wire__Engine w = WIRE__ENGINE__INIT;
-  w.id = (char *)who; w.service = "chat"; w.addr = (char *)addr; w.area = "north"; w.edition = "v1"; w.slots = 8;
+  w.id = (char *)who; w.service = "chat"; w.addr = (char *)addr; w.area = "north"; w.version = "v1"; w.slots = 8;
   w.count = count; w.leaving = leaving;
   return w;
 }
@@ -52,16 +52,16 @@
   enlisted *x = registry_find(&r, "e1");
   expect(f, r.seq == seq && !strcmp(x->w->addr, "10.0.0.1:80") && x->heard.us == t_ms(2000).us, "a late beat changed something");
   Wire__Resident m = WIRE__RESIDENT__INIT, *ms = &m;
-  m.model = "m1"; m.edition = 1;
+  m.model = "m1"; m.version = 1;
   Wire__Engine w = beat_of("e1", "10.0.0.1:80", 5, false);
   w.n_models = 1; w.models = &ms;
   expect(f, registry_beat(&r, &w, t_ms(3000)) == FOLD_CHANGED, "a model that came is no change");
   w.count = 6;
   expect(f, registry_beat(&r, &w, t_ms(4000)) == FOLD_ALIVE, "the same models are a change");
-  m.edition = 2;
+  m.version = 2;
   w.count = 7;
   expect(f, registry_beat(&r, &w, t_ms(5000)) == FOLD_CHANGED, "other weights are no change");
-  expect(f, registry_find(&r, "e1")->w->models[0]->edition == 2, "other weights were not kept");
+  expect(f, registry_find(&r, "e1")->w->models[0]->version == 2, "other weights were not kept");
   registry_free(&r);
   return true;
 }
--- a/tests/routing.c
+++ b/tests/routing.c
@@ -5,7 +5,7 @@
 
 /* a dialect of nobody's */
 static const dialect_pair keys[] = { { "version", "issue" }, { "routes", "ways" }, { "host", "seat" }, { "service", "shop" }, { "services", "shops" }, { "weight", "part" }, { "split", "parts" } };
-static const dialect_word words[] = { { "mode", "safe", "again" }, { "mode", "once", "single" }, { "state", "leaving", "closing" } };
+static const dialect_word words[] = { { "mode", "safe", "again" }, { "mode", "once", "single" }, { "state", "leaving", "ending" } };
 static const dialect odd = { .keys = keys, .key_count = G_N_ELEMENTS(keys), .words = words, .word_count = G_N_ELEMENTS(words),
   .call = { [DC_BEAT] = { "POST", "/e/{}/b" }, [DC_CONFIG_GET] = { "GET", "/c/read" } } };
 
@@ -28,7 +28,7 @@
     { "{\"issue\":7,\"ways\":[{\"seat\":\"a\",\"mode\":\"again\",\"parts\":[{\"shop\":\"s\",\"part\":90}]}],\"x\":{\"shops\":[1,null,true]}}",
       "{\"version\":7,\"routes\":[{\"host\":\"a\",\"mode\":\"safe\",\"split\":[{\"service\":\"s\",\"weight\":90}]}],\"x\":{\"services\":[1,null,true]}}" },
     { "{\"version\":1,\"~version\":2,\"~~x\":3,\"issue\":4,\"mode\":\"once\"}", "{\"~version\":1,\"~~version\":2,\"~~~x\":3,\"version\":4,\"mode\":\"~once\"}" },
-    { "{\"mode\":\"~odd\",\"state\":\"closing\",\"other\":\"closing\"}", "{\"mode\":\"~~odd\",\"state\":\"leaving\",\"other\":\"closing\"}" },
+    { "{\"mode\":\"~odd\",\"state\":\"ending\",\"other\":\"ending\"}", "{\"mode\":\"~~odd\",\"state\":\"leaving\",\"other\":\"ending\"}" },
     { "{\"mode\":\"new\",\"state\":\"again\",\"host\":\"single\"}", "{\"mode\":\"new\",\"state\":\"again\",\"~host\":\"single\"}" },
     { "[{\"issue\":[{\"issue\":{}}]}]", "[{\"version\":[{\"version\":{}}]}]" } };
   for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
