--- a/stand/instance.c
+++ b/stand/instance.c
@@ -74,7 +74,7 @@
 static void report_text(em_engine *e, GString *b) {
   g_string_append(b, "{\"phase\":\"both\",\"models\":");
   models_json(e, b);
-  json_f(b, ",\"busy\":%s,\"count\":%" PRIu64 ",\"waiting\":%u,\"running\":%u,\"kvUsed\":%.0f,\"kvTotal\":%.0f,\"carried\":0}",
+  json_f(b, ",\"busy\":%s,\"count\":%" PRIu64 ",\"waiting\":%u,\"running\":%u,\"kvUsed\":%.0f,\"kvTotal\":%.0f}",
          e->busy ? "true" : "false", e->orders, e->waiting, e->busy_slots, e->kv_running, e->p->kv_tokens);
 }
 
