--- a/bin/barograph.c
+++ b/bin/barograph.c
@@ -47,7 +47,7 @@
 static day *day_of(const use *u, const char *policy, err *e) {
   gchar *text = NULL;
   gsize n = 0;
-  if (!g_file_get_contents(u->file, &text, &n, NULL)) { err_set(e, E_ENV_FILE, "%s can't be read", u->file); return NULL; }
+  if (!g_file_get_contents(u->file, &text, &n, NULL)) { err_set(e, E_ENV_FILE, "can't be read"); return NULL; }
   day *d = day_read((str){ text, n }, e);
   g_free(text);
   if (!d) return NULL;
