Placement: dear room is refused, rates reach newcomers, a base goes with its adapters

Change: the holder refuses when the cost has more than doubled (coordinator chooses anew); nodes new or restarted are told all rates; a base takes its adapters along; engines mute to their holder are passed over for 2 s; leaving a duty tells how long ago its last order was; window of 20 s; a job's place counts its model's rate. Ruled out: the pace of the store (tickets were free).

--- a/lib/gate/forward.c
+++ b/lib/gate/forward.c
@@ -40,6 +40,8 @@
   int status;
   int64_t back;
   const char *text;
+  double held_ms;
+  id last;
 } flight;
 
 static tick now_of(const flight *f) { return w_now(f->g->v->s.w); }
@@ -261,6 +263,7 @@
   }
   f->a->left = NULL;
   line_leave(f);
+  f->held_ms += ms_since(f, from);
   if (code && f->at.i) release(f, &f->at, true);
   return code;
 }
@@ -534,6 +537,7 @@
   f->joined = f->a->began;
   f->declined = false;
   call *c = open_call(f, from);
+  f->last = f->at.i->self;
   f->a->left = &c->news;
   enum end e = head_wait(f, c, from);
   bool headed = c->status != 0;
@@ -606,6 +610,8 @@
 static void finish(flight *f, int code) {
   gate *g = f->g;
   ask *a = f->a;
+  whisper(&g->v->s.log, "forward", "%s of %s, priority %u, model %s+%s, %.0f tokens: code %d, status %d, gone %d, after %.0f ms, held %.0f ms, estimated %.0f ms, sent %d, at %s, %s.", f->request, f->r->name.s, f->r->priority, f->model.s,
+          f->adapter.s, f->tokens, code, a->began ? a->status : f->status, a->gone, ms_since(f, f->since), f->held_ms, f->est, f->sends, f->last.s, f->text ? f->text : "-");
   if (!code) { g->n.served++; return; }
   if (code == E_GONE || a->gone) { g->n.left++; if (!a->ended) ask_end(a, false); return; }
   /* a request that may have run is never said not to have */
--- a/lib/gate/gate.h
+++ b/lib/gate/gate.h
@@ -49,6 +49,7 @@
   bell work;
   bool worker;
   tick ordered_at;          /* when another node was last heard to order it about */
+  tick mute_till;           /* at a coordinator: its holder got no answer from it */
   double owed_mb;
   unsigned owed_slots;
   uint64_t known_epoch;     /* the contract under which its residents were read from itself */
--- a/lib/gate/loader.c
+++ b/lib/gate/loader.c
@@ -8,9 +8,9 @@
 /* what this node asks for; lives while requests ask again */
 typedef struct want_job { char *key; id service, model, adapter; unsigned priority; bool copy, lost; tick asked, due, failed_till; int code; id tried; tick tried_till; } want_job;
 /* at a coordinator: one placement for the whole fleet */
-typedef struct placing { char *key; id service, model, adapter, engine; unsigned priority; bool copy, done; tick asked, due; int code, held; int64_t wait; bell b; } placing;
+typedef struct placing { char *key; id service, model, adapter, engine; unsigned priority; bool copy, done; tick asked, due; int code, held; int64_t wait; double cost; bell b; } placing;
 /* at a holder: one job of an engine */
-typedef struct place_job { node n; id model, adapter; unsigned priority; bool copy, done; tick since, asked, due; int code, held; int64_t wait; bell b; } place_job;
+typedef struct place_job { node n; id model, adapter; unsigned priority; bool copy, done; tick since, asked, due; int code, held; int64_t wait; double cost_most; bell b; } place_job;
 
 static tick now_of(gate *g) { return w_now(g->v->s.w); }
 static tick ms_from(gate *g, double ms) { return t_add(now_of(g), (tick){ (int64_t)(ms * 1000) }); }
@@ -258,6 +258,16 @@
   return c ? c->till : (tick){ 0 };
 }
 
+/* notes when an order may last have gone out under a contract, and whether one still may */
+static void contract_open(instance *i, int more) {
+  char d[64];
+  duty_engine(d, sizeof d, i->self);
+  contract *c = g_hash_table_lookup(i->g->v->contracts, d);
+  if (!c) return;
+  c->open += more;
+  c->ordered = now_of(i->g);
+}
+
 static fields *fields_for(instance *i) {
   fields *f = g_string_new(NULL);
   fields_add(f, "Host", str_of(i->addr));
@@ -363,7 +373,9 @@
   json_free(j);
   g->n.orders++;
   history_add(&g->v->h, (entry){ EV_ORDERED, { 0 }, i->self, model, adapter, up });
+  contract_open(i, 1);
   int st = exchange(i, DC_ORDER, t->str, got, ORDER_MS, till.us < by.us ? till : by, x);
+  contract_open(i, -1);
   if (st > 0 && st != 200 && st != 202) err_set(x, E_ORDER, "%s answered %d to %s %s%s%s: %.80s", i->self.s, st, up ? "load" : "unload", model.s, adapter.s[0] ? "+" : "", adapter.s, got->str);
   g_string_free(t, TRUE);
   g_string_free(got, TRUE);
@@ -440,7 +452,11 @@
     policy rule = { "cremebrulee", NULL, now_of(i->g) };
     int got = policy_fill(&rule, all, n, l, chance, i->g->v->s.w);
     if (got <= 0) return err_set(x, E_ROOM, "nothing on %s may be unloaded for %s now", i->self.s, model.s);
-    int r = unload(i, all[0].model, all[0].adapter, x);
+    whisper(&i->g->v->s.log, "place", "%s goes from %s for %s+%s: rate %.2f a copy, worth %.0f, one of %d.", all[0].model.s, i->self.s, model.s, adapter.s, all[0].rate, all[0].penalty * all[0].rate, got);
+    /* a base takes its adapters with it */
+    id adapter_goes = all[0].adapter;
+    for (int k = 0; k < got; k++) if (id_eq(all[k].model, all[0].model) && id_none(all[k].adapter)) adapter_goes = none;
+    int r = unload(i, all[0].model, adapter_goes, x);
     if (r) return r;
   }
   return err_set(x, E_ROOM, "%s found no room in time", i->self.s);
@@ -574,6 +590,7 @@
   }
   instance_loaded(i, model, adapter);
   instance_cast(i);
+  whisper(&g->v->s.log, "place", "%s%s is on %s after %.0f ms, guessed %.0f, %s.", key, warm ? " (disk)" : "", i->self.s, since_ms(g, began), guess, job->copy ? "a copy" : "missed");
   return OK;
 }
 
@@ -615,6 +632,10 @@
   if (instance_holds(i, job->model, job->adapter)) return OK;
   if (i->leaving) return err_set(x, E_ENGINE, "%s is leaving", i->self.s);
   if (!job->copy && instance_copies(g, i->service, job->model, job->adapter)) return OK;
+  /* what was cheap when this engine was chosen may have gone meanwhile: the coordinator then chooses anew */
+  double mb;
+  unsigned slots;
+  if (job->cost_most > 0 && place_cost(i, s, job->model, job->adapter, &mb, &slots) > job->cost_most) { *wait = 20; return err_set(x, E_ROOM, "room on %s has become dear", i->self.s); }
   if (!instance_resident(i, job->model)) {
     r = load_one(i, job, s, job->model, none, wait, x);
     if (r || id_none(job->adapter)) return r;
@@ -643,7 +664,7 @@
     list_each(j, &i->orders, place_job, n) {
       if (j->done) continue;
       if (t_past(now, t_add(j->asked, t_ms(ALIVE_MS)))) { j->held++; job_done(j, E_WAIT, 0); job_drop(j); continue; }
-      double worth = (10 - MIN(j->priority, 10)) * 500.0 + since_ms(g, j->since);
+      double worth = (10 - MIN(j->priority, 10)) * 500.0 + since_ms(g, j->since) + 300 * MIN(rate_of(g, j->model, j->adapter), 10);
       if (!best || worth > top) { best = j; top = worth; }
     }
     if (!best) {
@@ -684,6 +705,7 @@
     const service *s = service_of(g, i->service);
     j = g_new0(place_job, 1);
     j->model = m; j->adapter = a; j->priority = q->priority; j->copy = q->copy;
+    j->cost_most = (double)q->costmost;
     j->since = now_of(g);
     double each = s ? time_of(g, s, m, a, instance_resident(i, m) || g_hash_table_contains(i->held_before, m.s)) : 1000;
     if (s && !id_none(a) && !instance_resident(i, m)) each += time_of(g, s, m, none, g_hash_table_contains(i->held_before, m.s));
@@ -694,6 +716,7 @@
   j->asked = now_of(g);
   j->priority = MIN(j->priority, q->priority);
   j->copy &= q->copy;
+  j->cost_most = (double)q->costmost;
   j->held++;
   instance_ref(i);
   if (!i->worker) {
@@ -727,14 +750,21 @@
   return true;
 }
 
-/* how many placements of this coordinator an engine has before it */
-static int queued_on(gate *g, id engine) {
-  int n = 0;
+/* how long the placements of this coordinator keep an engine busy before another may begin, in ms */
+static double queued_on(gate *g, id engine) {
+  double ms = 0;
   GHashTableIter it;
   gpointer p;
   g_hash_table_iter_init(&it, g->placings);
-  while (g_hash_table_iter_next(&it, NULL, &p)) n += !((placing *)p)->done && id_eq(((placing *)p)->engine, engine);
-  return n;
+  while (g_hash_table_iter_next(&it, NULL, &p)) {
+    placing *k = p;
+    if (k->done || !id_eq(k->engine, engine)) continue;
+    const service *s = service_of(g, k->service);
+    instance *i = instance_find(g, engine.s);
+    if (!s || !i) continue;
+    ms += 40 + (instance_resident(i, k->model) ? 0 : time_of(g, s, k->model, none, g_hash_table_contains(i->held_before, k->model.s)));
+  }
+  return ms;
 }
 
 /* an engine that is about to get the same model for another want of it; NULL when there is none */
@@ -765,7 +795,7 @@
   for (int round = 0; round < 2 && !best; round++)
     list_each(i, &g->instances, instance, n) {
       char addr[48];
-      if (!id_eq(i->service, s->name) || i->gone || i->leaving || !i->models_known || (i->suspect && !round) || (!instance_usable(i) && !round)) continue;
+      if (!id_eq(i->service, s->name) || i->gone || i->leaving || !i->models_known || (!round && i->mute_till.us > now_of(g).us) || (i->suspect && !round) || (!instance_usable(i) && !round)) continue;
       if (i->ends_at.us && !t_past(i->ends_at, ms_from(g, 30000))) continue;
       if (p->copy && instance_holds(i, p->model, p->adapter)) continue;
       bool barred = false;
@@ -775,13 +805,14 @@
       unsigned slots;
       double cost = place_cost(i, s, p->model, p->adapter, &mb, &slots);
       if (cost < 0) { *code = E_ROOM; continue; }
+      double evict = cost;
       bool there = instance_resident(i, p->model) != NULL, warm = g_hash_table_contains(i->held_before, p->model.s);
       if (p->copy && cost > worth) { *code = E_ROOM; continue; }
       double load_ms = (there ? 0 : time_of(g, s, p->model, none, warm)) + (id_none(p->adapter) ? 0 : time_of(g, s, p->model, p->adapter, warm));
       unsigned all = i->slots ? i->slots : s->engine_slots;
-      double delay = load_ms + queued_on(g, i->self) * 1500.0 + (all ? 300.0 * instance_running(i) / all : 0) + (there || warm ? 0 : 300) + (cost > 0 ? 60 : 0);
-      cost += delay * MAX(lambda, 0.3) + (double)w_draw(g->v->s.w, 10);
-      if (!best || cost < least) { best = i; least = cost; }
+      double delay = load_ms + queued_on(g, i->self) + (all ? 300.0 * instance_running(i) / all : 0) + (there || warm ? 0 : 300) + (cost > 0 ? 60 : 0);
+      cost += delay * MAX(lambda, 0.6) + (double)w_draw(g->v->s.w, 10);
+      if (!best || cost < least) { best = i; least = cost; p->cost = evict; }
     }
   return best;
 }
@@ -820,12 +851,13 @@
     }
     if (!id_eq(p->engine, i->self)) {
       p->engine = i->self;
-      bool there = instance_resident(i, p->model) != NULL, warm = g_hash_table_contains(i->held_before, p->model.s);
-      p->due = ms_from(g, 30 + (there ? 0 : time_of(g, s, p->model, none, warm)) + (id_none(p->adapter) ? 0 : time_of(g, s, p->model, p->adapter, warm)) + (queued_on(g, i->self) - 1) * 1500.0);
+      bool warm = g_hash_table_contains(i->held_before, p->model.s);
+      p->due = ms_from(g, 30 + queued_on(g, i->self) + (id_none(p->adapter) ? 0 : time_of(g, s, p->model, p->adapter, warm)));
     }
     id engine = i->self;
     Wire__Place q = WIRE__PLACE__INIT;
     q.engine = engine.s; q.service = p->service.s; q.model = p->model.s; q.adapter = p->adapter.s; q.priority = p->priority; q.wait = ASK_MS; q.copy = p->copy;
+    q.costmost = (uint64_t)(2 * p->cost + 300);
     Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_PLACE, &q), *b;
     err x = { 0 };
     int r = site_call(&g->v->s, addr, &m, t_ms(CALL_MS), &b, &x);
@@ -845,6 +877,8 @@
     p->engine = none;
     if (r == E_PACE) { p->due = ms_from(g, (double)wait + 1000); if (!w_nap(g->v->s.w, t_ms(CLAMP(wait, 50, 500)))) break; continue; }
     g_ptr_array_add(not_these, g_strdup(engine.s));
+    /* an engine that does not answer its holder is passed over by the other placements too */
+    if (r == E_ENGINE && (i = instance_find(g, engine.s))) i->mute_till = ms_from(g, 2000);
     if (r == E_MODEL || ++blanks > 6) break;
     if (!w_nap_about(g->v->s.w, t_ms(r == E_TIME ? 20 : 60))) break;
   }
@@ -1012,9 +1046,15 @@
 static void rates_run(void *p) {
   gate *g = p;
   vane *v = g->v;
+  uint64_t met = 0;
   for (;;) {
-    history_window_fix(&v->h, (tick){ (int64_t)((g->x.rate_window_s > 0 ? g->x.rate_window_s : 60) * 1e6) });
+    history_window_fix(&v->h, (tick){ (int64_t)((g->x.rate_window_s > 0 ? g->x.rate_window_s : 20) * 1e6) });
     if (!w_nap_about(v->s.w, t_ms(RATES_MS))) return;
+    /* a node that is new here, or has started anew, hears all from the start */
+    uint64_t now_met = v->s.nonce;
+    list_each(x, &v->s.machines, machine, n) if (x->role == ROLE_VANE && !x->gone) now_met += x->nonce;
+    if (now_met != met) g_hash_table_remove_all(g->rates_told);
+    met = now_met;
     GPtrArray *all = g_ptr_array_new_with_free_func(g_free);
     GHashTableIter it;
     gpointer k, t;
--- a/lib/mast/mast.c
+++ b/lib/mast/mast.c
@@ -106,6 +106,10 @@
       a->ok = !h->leave;
       a->epoch = g->epoch;
       if (!h->leave) *renewed(m, h->duty) = now;
+      else if (h->quiet) {
+        tick quiet = t_sub(now, t_ms((int64_t)MIN(h->quiet, 100000)));
+        if (quiet.us < renewed(m, h->duty)->us) *renewed(m, h->duty) = quiet;
+      }
     } else if (!h->leave) young++;
   }
   if (!young) return OK;
--- a/lib/vane/duty.c
+++ b/lib/vane/duty.c
@@ -53,6 +53,8 @@
     contract *c = list->pdata[i];
     wire__hold__init(&h[i]);
     h[i].duty = c->duty.s; h[i].epoch = c->held ? c->epoch : 0; h[i].leave = leave;
+    /* the next holder must keep its distance from this one's last order, not from its last renewal */
+    if (leave && v->s.v.loose && !c->open) h[i].quiet = (uint64_t)MAX(1, t_sub(w_now(v->s.w), c->ordered.us ? c->ordered : c->since).us / 1000);
     hp[i] = &h[i];
   }
   q.nonce = v->s.nonce; q.n_holds = list->len; q.holds = hp;
--- a/lib/vane/vane.h
+++ b/lib/vane/vane.h
@@ -46,8 +46,8 @@
   bool odd;
 } engine;
 
-/** A duty that this vane holds, or would. */
-typedef struct contract { id duty; uint64_t epoch; tick till, since, second; bool want, held; } contract;
+/** A duty that this vane holds, or would; ordered and open: when work under it was last sent, and what may still be. */
+typedef struct contract { id duty; uint64_t epoch; tick till, since, second, ordered; int open; bool want, held; } contract;
 
 /** A miss that this vane has passed to the engine's holder. */
 typedef struct miss { node n; id engine, model, adapter; int code; bool done; int held; uint64_t wait; bell b; struct vane *v; unsigned weight; tick till; } miss;
