--- a/lib/gate/forward.c
+++ b/lib/gate/forward.c
@@ -40,7 +40,7 @@
   int status;
   int64_t back;
   const char *text;
-  double held_ms;
+  double held_ms, first_ms;
   id last;
 } flight;
 
@@ -285,6 +285,7 @@
 static void first_byte(flight *f, double ms) {
   if (f->at.first) return;
   f->at.first = true;
+  f->first_ms = ms;
   instance_first(f->at.i, f->tokens, ms, f->at.running_then);
   traffic *t = traffic_of(f->g, f->to);
   t->first_ms += 0.1 * (ms - t->first_ms);
@@ -610,8 +611,8 @@
 static void finish(flight *f, int code) {
   gate *g = f->g;
   ask *a = f->a;
-  whisper(&g->v->s.log, "forward", "%s of %s, priority %u, model %s+%s, %.0f tokens: code %d, status %d, gone %d, after %.0f ms, held %.0f ms, estimated %.0f ms, sent %d, at %s, %s.", f->request, f->r->name.s, f->r->priority, f->model.s,
-          f->adapter.s, f->tokens, code, a->began ? a->status : f->status, a->gone, ms_since(f, f->since), f->held_ms, f->est, f->sends, f->last.s, f->text ? f->text : "-");
+  whisper(&g->v->s.log, "forward", "%s of %s, priority %u, model %s+%s, %.0f tokens: code %d, status %d, gone %d, after %.0f ms, held %.0f ms, estimated %.0f ms, first %.0f ms, sent %d, at %s, %s.", f->request, f->r->name.s, f->r->priority, f->model.s,
+          f->adapter.s, f->tokens, code, a->began ? a->status : f->status, a->gone, ms_since(f, f->since), f->held_ms, f->est, f->first_ms, f->sends, f->last.s, f->text ? f->text : "-");
   if (!code) { g->n.served++; return; }
   if (code == E_GONE || a->gone) { g->n.left++; if (!a->ended) ask_end(a, false); return; }
   /* a request that may have run is never said not to have */
--- a/lib/gate/select.c
+++ b/lib/gate/select.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+static const double LATE_SHARE = 3;
 enum { CANDS = 512, PARTS = 32, SLOW_MS = 1000, COPY_MS = 1500 };
 
 double est_first(double base_ms, double ms_per_token, double ahead, double fresh, int running, unsigned slots, double run_ms) {
@@ -131,6 +132,8 @@
     if (soonest < 0 || est < soonest) soonest = est;
     if (slots && running >= (int)slots + (llm ? 0 : 2)) continue;
     if (q->left_ms > 0 && est > (double)q->left_ms) continue;
+    /* a place in a line that is already too long helps nobody behind it */
+    if (llm && q->target_ms && est > LATE_SHARE * (double)q->target_ms && ahead > 0) continue;
     double cost = est;
     /* parts that are read again are paid for, beside the time they take */
     if (shared && i != home) cost += i->ms_per_token * MAX(shared_tokens - (kept ? upto[kept - 1] : 0), 0);
--- a/lib/vane/history.c
+++ b/lib/vane/history.c
@@ -85,6 +85,18 @@
   return t ? (double)sum(h, t) / ((double)h->window.us / 1e6) : 0;
 }
 
+double history_recent(history *h, const char *key, tick span) {
+  tally *t = g_hash_table_lookup(h->tallies, key);
+  if (!t) return 0;
+  roll(h, t);
+  int64_t slice = h->window.us / BUCKETS, n = CLAMP((span.us + slice / 2) / slice, 1, BUCKETS - 1);
+  uint64_t sum_ = 0;
+  /* the slice in hand is not full yet: it counts, and the time it has had as well */
+  for (int64_t i = 0; i <= n; i++) sum_ += t->slice[(t->at - i + BUCKETS) % BUCKETS];
+  int64_t had = n * slice + w_now(h->w).us % slice;
+  return (double)sum_ / ((double)had / 1e6);
+}
+
 tick history_used(history *h, const char *key) {
   tally *t = g_hash_table_lookup(h->tallies, key);
   return t ? t->last : (tick){ 0 };
--- a/lib/vane/history.h
+++ b/lib/vane/history.h
@@ -34,6 +34,8 @@
 void history_key(char *buf, size_t n, id model, id adapter);
 /** Requests a second for a key, over the window. */
 double history_rate(history *h, const char *key);
+/** The same over the last span only, which is at most the window. */
+double history_recent(history *h, const char *key, tick span);
 /** When a key was last asked for. */
 tick history_used(history *h, const char *key);
 /** The smoothed load time in ms of a key on an engine type, or the fallback. */
