--- a/lib/gate/gate.h
+++ b/lib/gate/gate.h
@@ -61,7 +61,7 @@
   double picked_fresh, picked_tokens;
   struct part_note *parts;  /* prompts' parts that this node sent there */
   double read_tokens;       /* all that this node had it read */
-  double usual_first, usual_run, usual_fresh, usual_tokens;   /* smoothed: ms to the first event, ms of a whole run, tokens of a prompt */
+  double usual_first, usual_run, usual_tokens;   /* smoothed: ms to the first event, ms of a whole run, tokens of a prompt */
   tick suspect_at, gone_at, told_at;
   tick seen_at;             /* when it last answered a report or an order by its own name */
 } instance;
--- a/lib/gate/instances.c
+++ b/lib/gate/instances.c
@@ -290,7 +290,6 @@
   i->running++;
   i->tokens += r.fresh;
   i->read_tokens += r.fresh;
-  i->usual_fresh = i->usual_fresh ? i->usual_fresh + 0.05 * (r.fresh - i->usual_fresh) : r.fresh;
   i->usual_tokens = i->usual_tokens ? i->usual_tokens + 0.05 * (tokens - i->usual_tokens) : tokens;
   if (!i->oldest_wait.us) i->oldest_wait = r.at;
   if (!id_none(r.model)) {
--- a/lib/gate/loader.c
+++ b/lib/gate/loader.c
@@ -3,15 +3,12 @@
 #include <stdio.h>
 
 enum { ALIVE_MS = 1600, ASK_MS = 800, CALL_MS = 1300, ORDER_MS = 1500, REPORT_MS = 800, LAG_MS = 450, YOUNG_MS = 1000, TICKET_MS = 400, LAST_MS = 150,
-       UNLOAD_MS = 12000, RATES_MS = 1000, RECENT_RATE_MS = 5000, BALANCE_MS = 400, RISE_MS = 3000, RECENT_MS = 60, FAIL_MS = 800, ONE_COORDINATOR = 32, BUSY_COST = 300, SURE_MS = 1800, CANDS = 96 };
-
-/* how much of an engine's time its share of a model's prompts may take before one more copy is due */
-static const double COPY_SHARE = 0.4;
+       UNLOAD_MS = 12000, RATES_MS = 1000, RECENT_RATE_MS = 5000, RECENT_MS = 60, FAIL_MS = 800, ONE_COORDINATOR = 32, BUSY_COST = 300, SURE_MS = 1800, CANDS = 96 };
 
 /* what this node asks for; lives while requests ask again */
 typedef struct want_job { char *key; id service, model, adapter; unsigned priority; bool copy, lost; tick asked, due, failed_till; int code; id tried; tick tried_till; } want_job;
 /* at a coordinator: one placement for the whole fleet */
-typedef struct placing { char *key; id service, model, adapter, engine; unsigned priority; bool copy, done; tick asked, due, kept_till; int code, held; int64_t wait; double cost; bell b; } placing;
+typedef struct placing { char *key; id service, model, adapter, engine; unsigned priority; bool copy, done; tick asked, due; int code, held; int64_t wait; double cost; bell b; } placing;
 /* at a holder: one job of an engine */
 typedef struct place_job { node n; id model, adapter; unsigned priority; bool copy, done; tick since, asked, due; int code, held; int64_t wait; double cost_most; bell b; } place_job;
 
@@ -850,7 +847,7 @@
   GPtrArray *not_these = g_ptr_array_new_with_free_func(g_free);
   int code = E_ENGINE, blanks = 0;
   int64_t wait = 400;
-  while (!t_past(now_of(g), t_add(p->asked, t_ms(ALIVE_MS))) || !t_past(now_of(g), p->kept_till)) {
+  while (!t_past(now_of(g), t_add(p->asked, t_ms(ALIVE_MS)))) {
     const service *s = service_of(g, p->service);
     if (!s || !service_model(s, p->model.s)) { code = E_MODEL; wait = 2000; break; }
     if (!p->copy && instance_copies(g, s->name, p->model, p->adapter)) { code = OK; break; }
@@ -1099,64 +1096,6 @@
   }
 }
 
-/* the engine time in ms that one more request for a service takes, by what was learnt of its engines */
-static double work_ms(gate *g, const service *s) {
-  double sum = 0;
-  int n = 0;
-  list_each(i, &g->instances, instance, n) {
-    if (i->gone || i->leaving || !id_eq(i->service, s->name) || !i->usual_fresh) continue;
-    sum += i->usual_fresh * i->ms_per_token;
-    n++;
-  }
-  return n ? sum / n : 0;
-}
-
-/* the copies that a model's demand of late asks for */
-int copies_due(double rate, double work_ms, double share, int engines) {
-  return MIN(engines, (int)ceil(rate * work_ms / 1000 / share - 0.05));
-}
-
-/* whether this node coordinates the placements of a service or model */
-static bool coordinates(gate *g, id service, id model) {
-  want_job j = { .service = service, .model = model };
-  id who;
-  char addr[48];
-  coordinator(g, &j, &who, addr);
-  return id_eq(who, g->v->s.v.self);
-}
-
-static placing *placing_start(gate *g, char *key, id service, id model, id adapter, unsigned priority, bool copy);
-
-/* a model whose demand rises gets copies before its engines are late, several at once */
-static void balance(gate *g, const service *s) {
-  double each = work_ms(g, s);
-  int engines = 0;
-  if (each <= 0) return;
-  list_each(i, &g->instances, instance, n) engines += !i->gone && !i->leaving && id_eq(i->service, s->name) && !instance_lost(i);
-  for (size_t k = 0; k < s->model_count; k++) {
-    const svc_model *m = &s->models[k];
-    char key[180];
-    history_key(key, sizeof key, m->name, none);
-    double rate = history_recent(&g->v->h, key, t_ms(RISE_MS));
-    if (rate * each < 300 || !coordinates(g, s->name, m->name)) continue;
-    int due = copies_due(rate, each, COPY_SHARE, engines), there = instance_copies(g, s->name, m->name, none);
-    if (!there) continue;
-    for (int c = there; c < due; c++) {
-      snprintf(key, sizeof key, "%s/%s#%d", s->name.s, m->name.s, c);
-      if (g_hash_table_contains(g->placings, key)) continue;
-      placing_start(g, key, s->name, m->name, none, 1, true)->kept_till = ms_from(g, 4 * ALIVE_MS);
-    }
-  }
-}
-
-static void balance_run(void *p) {
-  gate *g = p;
-  while (w_nap_about(g->v->s.w, t_ms(BALANCE_MS))) {
-    if (!g->now || g->v->drain || g->nodes > ONE_COORDINATOR) continue;
-    for (size_t k = 0; k < g->now->service_count; k++) if (g->now->services[k].model_count) balance(g, &g->now->services[k]);
-  }
-}
-
 void loader_start(gate *g) {
   vane *v = g->v;
   g->placings = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, placing_free);
@@ -1167,7 +1106,6 @@
   site_on(&v->s, WIRE__ENVELOPE__BODY_WANT, on_want, g);
   site_on(&v->s, WIRE__ENVELOPE__BODY_RATES, on_rates, g);
   task_start(&v->s.w->tasks, "rates", rates_run, g);
-  task_start(&v->s.w->tasks, "balance", balance_run, g);
 }
 
 void loader_free(gate *g) {
