--- a/lib/gate/gate.h
+++ b/lib/gate/gate.h
@@ -219,7 +219,7 @@
 void loader_free(gate *g);
 /** What a placement on an instance would cost: the worth (ms a second) of what had to go for it; -1 when it can't fit now.
  *  need_mb and need_slots say what is missing. */
-double place_cost(instance *i, const service *s, id model, id adapter, double *need_mb, unsigned *need_slots);
+double place_cost(instance *i, const service *s, id model, id adapter, double *need_mb, unsigned *need_slots, double *drain_ms);
 /** When one more load out of the store may begin, by the log of those that began: at most so many in a window. */
 tick pace_next(const GArray *log, tick now, tick window, int most);
 /** How many loads a window holds by our own reckoning: a little below what the store allows. */
--- a/lib/gate/loader.c
+++ b/lib/gate/loader.c
@@ -2,15 +2,15 @@
 #include <math.h>
 #include <stdio.h>
 
-enum { ALIVE_MS = 1600, ASK_MS = 800, CALL_MS = 1300, ORDER_MS = 1500, REPORT_MS = 800, LAG_MS = 450, YOUNG_MS = 1000, TICKET_MS = 400, LAST_MS = 150,
-       UNLOAD_MS = 12000, RATES_MS = 1000, RECENT_RATE_MS = 5000, RECENT_MS = 60, FAIL_MS = 800, ONE_COORDINATOR = 32, BUSY_COST = 300, SURE_MS = 1800, CANDS = 96 };
+enum { ALIVE_MS = 1600, LAPSE_MS = 1000, ASK_MS = 800, CALL_MS = 1300, ORDER_MS = 1500, REPORT_MS = 800, LAG_MS = 450, YOUNG_MS = 1000, TICKET_MS = 400, LAST_MS = 150,
+       UNLOAD_MS = 12000, RATES_MS = 1000, RECENT_RATE_MS = 5000, RECENT_MS = 60, FAIL_MS = 800, ONE_COORDINATOR = 32, BUSY_COST = 300, DRAIN_LEAST_MS = 1000, SURE_MS = 1800, CANDS = 96 };
 
 /* what this node asks for; lives while requests ask again */
 typedef struct want_job { char *key; id service, model, adapter; unsigned priority; bool copy, lost; tick asked, due, failed_till; int code; id tried; tick tried_till; } want_job;
 /* at a coordinator: one placement for the whole fleet */
 typedef struct placing { char *key; id service, model, adapter, engine; unsigned priority; bool copy, done; tick asked, due; int code, held; int64_t wait; double cost; bell b; } placing;
 /* at a holder: one job of an engine */
-typedef struct place_job { node n; id model, adapter; unsigned priority; bool copy, done; tick since, asked, due; int code, held; int64_t wait; double cost_most; bell b; } place_job;
+typedef struct place_job { node n; id model, adapter; unsigned priority; bool copy, done, begun; tick since, asked, due; int code, held; int64_t wait; double cost_most; bell b; } place_job;
 
 static tick now_of(gate *g) { return w_now(g->v->s.w); }
 static tick ms_from(gate *g, double ms) { return t_add(now_of(g), (tick){ (int64_t)(ms * 1000) }); }
@@ -99,7 +99,7 @@
   if (!id_none(adapter) && !instance_holds(i, model, adapter)) { *mb += size_of(s, model, adapter); *slots += 1; }
 }
 
-double place_cost(instance *i, const service *s, id model, id adapter, double *need_mb, unsigned *need_slots) {
+double place_cost(instance *i, const service *s, id model, id adapter, double *need_mb, unsigned *need_slots, double *drain_ms) {
   cand all[CANDS];
   double mb, add;
   unsigned slots, more;
@@ -107,6 +107,7 @@
   needs(i, s, model, adapter, &add, &more);
   *need_mb = add;
   *need_slots = more;
+  *drain_ms = 0;
   if (add > s->weights_mb || more > s->adapter_slots) return -1;
   lack l = lack_of(s, mb, slots, add, more);
   if (!l.megs && !l.slots) return 0;
@@ -114,8 +115,12 @@
   int got = policy_fill(&rule, all, n, l, chance, i->g->v->s.w);
   if (got < 0) return -1;
   double cost = 0;
-  /* what runs has to end first, and holds the engine's other orders up */
-  for (int k = 0; k < got; k++) cost += all[k].penalty * all[k].rate + (all[k].busy ? BUSY_COST : 0);
+  /* what runs has to end first; meanwhile it takes no new work, and holds the engine's other orders up */
+  for (int k = 0; k < got; k++) {
+    double drain = all[k].busy ? MAX(DRAIN_LEAST_MS, 2 * i->usual_run) : 0;
+    *drain_ms = MAX(*drain_ms, drain);
+    cost += (all[k].penalty + drain) * all[k].rate + (drain > 0 ? BUSY_COST : 0);
+  }
   return cost;
 }
 
@@ -634,9 +639,9 @@
   if (i->leaving) return err_set(x, E_ENGINE, "%s is leaving", i->self.s);
   if (!job->copy && instance_copies(g, i->service, job->model, job->adapter)) return OK;
   /* what was cheap when this engine was chosen may have gone meanwhile: the coordinator then chooses anew */
-  double mb;
+  double mb, drain;
   unsigned slots;
-  if (job->cost_most > 0 && place_cost(i, s, job->model, job->adapter, &mb, &slots) > job->cost_most) { *wait = 20; return err_set(x, E_ROOM, "room on %s has become dear", i->self.s); }
+  if (job->cost_most > 0 && place_cost(i, s, job->model, job->adapter, &mb, &slots, &drain) > job->cost_most) { *wait = 20; return err_set(x, E_ROOM, "room on %s has become dear", i->self.s); }
   if (!instance_resident(i, job->model)) {
     r = load_one(i, job, s, job->model, none, wait, x);
     if (r || id_none(job->adapter)) return r;
@@ -664,7 +669,7 @@
     tick now = now_of(g);
     list_each(j, &i->orders, place_job, n) {
       if (j->done) continue;
-      if (t_past(now, t_add(j->asked, t_ms(ALIVE_MS)))) { j->held++; job_done(j, E_WAIT, 0); job_drop(j); continue; }
+      if (t_past(now, t_add(j->asked, t_ms(LAPSE_MS)))) { j->held++; job_done(j, E_WAIT, 0); job_drop(j); continue; }
       double worth = (10 - MIN(j->priority, 10)) * 500.0 + since_ms(g, j->since) + 300 * MIN(rate_of(g, j->model, j->adapter), 10);
       if (!best || worth > top) { best = j; top = worth; }
     }
@@ -674,6 +679,7 @@
       continue;
     }
     best->held++;
+    best->begun = true;
     err x = { 0 };
     int64_t wait = 0;
     int r = place(i, best, &wait, &x);
@@ -732,6 +738,7 @@
   b->up = j->done && !j->code;
   b->code = (uint32_t)(j->done ? j->code : E_WAIT);
   b->wait = (uint64_t)(j->done ? j->wait : ms_till(g, j->due));
+  b->begun = j->begun;
   job_drop(j);
   instance_unref(i);
   return OK;
@@ -814,16 +821,16 @@
       bool barred = false;
       for (guint k = 0; k < not_these->len; k++) barred |= !strcmp(not_these->pdata[k], i->self.s);
       if (barred || !holder_addr(g, i->self, addr)) continue;
-      double mb;
+      double mb, drain;
       unsigned slots;
-      double cost = place_cost(i, s, p->model, p->adapter, &mb, &slots);
+      double cost = place_cost(i, s, p->model, p->adapter, &mb, &slots, &drain);
       if (cost < 0) { *code = E_ROOM; continue; }
       double evict = cost;
       bool there = instance_resident(i, p->model) != NULL, warm = g_hash_table_contains(i->held_before, p->model.s);
       if (p->copy && cost > worth) { *code = E_ROOM; continue; }
       double load_ms = (there ? 0 : time_of(g, s, p->model, none, warm)) + (id_none(p->adapter) ? 0 : time_of(g, s, p->model, p->adapter, warm));
       unsigned all = i->slots ? i->slots : s->engine_slots;
-      double delay = load_ms + queued_on(g, i->self) + (all ? 300.0 * instance_running(i) / all : 0) + (there || warm ? 0 : 300) + (cost > 0 ? 60 : 0);
+      double delay = load_ms + drain + queued_on(g, i->self) + (all ? 300.0 * instance_running(i) / all : 0) + (there || warm ? 0 : 300) + (cost > 0 ? 60 : 0);
       cost += delay * MAX(lambda, 0.6) + (double)w_draw(g->v->s.w, 10);
       if (!best || cost < least) { best = i; least = cost; p->cost = evict; }
     }
@@ -876,6 +883,7 @@
     err x = { 0 };
     int r = site_call(&g->v->s, addr, &m, t_ms(CALL_MS), &b, &x);
     if (r == E_DEAD) { code = r; break; }
+    bool begun = !r && b->body_case == WIRE__ENVELOPE__BODY_PLACEBACK && b->placeback->begun;
     if (!r && b->body_case == WIRE__ENVELOPE__BODY_PLACEBACK) { r = (int)b->placeback->code; wait = (int64_t)b->placeback->wait; }
     else if (!r) r = E_WIRE;
     site_done(b);
@@ -886,7 +894,12 @@
       if (i && !p->copy && !instance_copies(g, p->service, p->model, p->adapter) && !w_nap(g->v->s.w, t_ms(RECENT_MS))) code = E_DEAD;
       break;
     }
-    if (r == E_WAIT) { p->due = ms_from(g, (double)wait); continue; }
+    if (r == E_WAIT) {
+      p->due = ms_from(g, (double)wait);
+      /* one that still stands in line may be better off elsewhere by now; the old place lapses unasked */
+      if (!begun) p->engine = none;
+      continue;
+    }
     code = r;
     p->engine = none;
     if (r == E_PACE) { p->due = ms_from(g, (double)wait + 1000); if (!w_nap(g->v->s.w, t_ms(CLAMP(wait, 50, 500)))) break; continue; }
--- a/tests/loader.c
+++ b/tests/loader.c
@@ -80,32 +80,32 @@
   instance *i = beat(b, "e1", "10.0.0.1:80", 1, 0, "big,mid");
   asked(b, "big", "", 60);
   asked(b, "mid", "", 30);
-  double mb;
+  double mb, drain;
   unsigned slots;
-  WANT(f, near(place_cost(i, s, id_c("low"), id_c(""), &mb, &slots), 0));
+  WANT(f, near(place_cost(i, s, id_c("low"), id_c(""), &mb, &slots, &drain), 0));
   WANT(f, near(mb, 10000) && slots == 0);
   /* the lesser worth goes: two seconds of load at half a request a second */
-  WANT(f, near(place_cost(i, s, id_c("new"), id_c(""), &mb, &slots), 2000 * 0.5));
+  WANT(f, near(place_cost(i, s, id_c("new"), id_c(""), &mb, &slots, &drain), 2000 * 0.5));
   /* an adapter takes a place and its own weights, and its base when that is not there */
-  WANT(f, near(place_cost(i, s, id_c("big"), id_c("a1"), &mb, &slots), 0) && near(mb, 40) && slots == 1);
-  place_cost(i, s, id_c("new"), id_c("a1"), &mb, &slots);
+  WANT(f, near(place_cost(i, s, id_c("big"), id_c("a1"), &mb, &slots, &drain), 0) && near(mb, 40) && slots == 1);
+  place_cost(i, s, id_c("new"), id_c("a1"), &mb, &slots, &drain);
   WANT(f, near(mb, 35040) && slots == 1);
   /* both places taken: adapters go for an adapter, never the base that it needs */
   instance_loaded(i, id_c("big"), id_c("a2"));
   instance_loaded(i, id_c("big"), id_c("a3"));
   asked(b, "big", "a2", 12);
   asked(b, "big", "a3", 6);
-  WANT(f, near(place_cost(i, s, id_c("big"), id_c("a1"), &mb, &slots), 25 * 0.1));
+  WANT(f, near(place_cost(i, s, id_c("big"), id_c("a1"), &mb, &slots, &drain), 25 * 0.1));
   /* what is owed counts as taken */
   i->owed_mb = 10000;
-  WANT(f, place_cost(i, s, id_c("low"), id_c(""), &mb, &slots) > 0);
+  WANT(f, place_cost(i, s, id_c("low"), id_c(""), &mb, &slots, &drain) > 0);
   i->owed_mb = 60000;
-  WANT(f, place_cost(i, s, id_c("new"), id_c(""), &mb, &slots) < 0);
+  WANT(f, place_cost(i, s, id_c("new"), id_c(""), &mb, &slots, &drain) < 0);
   i->owed_mb = 0;
   /* what is on its way out keeps its room, and can't go twice */
   instance_going(i, id_c("mid"), id_c(""));
   WANT(f, !instance_holds(i, id_c("mid"), id_c("")) && instance_holds(i, id_c("big"), id_c("a2")));
-  WANT(f, place_cost(i, s, id_c("new"), id_c(""), &mb, &slots) > 2000 * 0.9);
+  WANT(f, place_cost(i, s, id_c("new"), id_c(""), &mb, &slots, &drain) > 2000 * 0.9);
   bare_free(b);
   return true;
 }
@@ -116,14 +116,14 @@
   instance *i = beat(b, "e1", "10.0.0.1:80", 1, 0, "big,mid");
   asked(b, "big", "", 60);
   asked(b, "mid", "", 36);
-  double mb;
+  double mb, drain;
   unsigned slots;
-  WANT(f, near(place_cost(i, s, id_c("new"), id_c(""), &mb, &slots), 2000 * 0.6));
+  WANT(f, near(place_cost(i, s, id_c("new"), id_c(""), &mb, &slots, &drain), 2000 * 0.6));
   /* with a second and third copy of big, each is worth a third of its rate; by size it is the least */
   beat(b, "e2", "10.0.0.2:80", 1, 0, "big");
   beat(b, "e3", "10.0.0.3:80", 1, 0, "big");
   WANT(f, instance_copies(&b->g, id_c("s"), id_c("big"), id_c("")) == 3);
-  WANT(f, near(place_cost(i, s, id_c("new"), id_c(""), &mb, &slots), 2000 / 3.0));
+  WANT(f, near(place_cost(i, s, id_c("new"), id_c(""), &mb, &slots, &drain), 2000 / 3.0));
   bare_free(b);
   return true;
 }
