Loads go by what they gain: those who wait and will come, by urgency

Change: a job's place, and the wait that is reckoned with, go by urgency times (1 + 3 s of its rate), with age against starving.

--- a/lib/gate/loader.c
+++ b/lib/gate/loader.c
@@ -8,7 +8,7 @@
 /* what this node asks for; lives while requests ask again */
 typedef struct want_job { char *key; id service, model, adapter; unsigned priority; bool copy, lost; tick asked, due, failed_till; int code; id tried; tick tried_till; } want_job;
 /* at a coordinator: one placement for the whole fleet */
-typedef struct placing { char *key; id service, model, adapter, engine; unsigned priority; bool copy, done; tick asked, due; int code, held; int64_t wait; double cost; bell b; } placing;
+typedef struct placing { char *key; id service, model, adapter, engine; unsigned priority; bool copy, done, begun; tick asked, due; int code, held; int64_t wait; double cost; bell b; } placing;
 /* at a holder: one job of an engine */
 typedef struct place_job { node n; id model, adapter; unsigned priority; bool copy, done, begun; tick since, asked, due; int code, held; int64_t wait; double cost_most; bell b; } place_job;
 
@@ -658,7 +658,14 @@
   g_free(j);
 }
 
-/* one task for each engine that has jobs; the more urgent and older come first */
+/* what is gained by a load: those who wait, and those who will come until the next load could be done, by urgency */
+static double load_worth(gate *g, unsigned priority, id model, id adapter) {
+  return (priority == 0 ? 1.5 : priority == 1 ? 1 : 0.5) * (1 + 3 * rate_of(g, model, adapter));
+}
+
+static double job_worth(gate *g, const place_job *j) { return load_worth(g, j->priority, j->model, j->adapter) + since_ms(g, j->since) / 1500; }
+
+/* one task for each engine that has jobs; the more useful and older come first */
 static void work_run(void *p) {
   instance *i = p;
   gate *g = i->g;
@@ -670,7 +677,7 @@
     list_each(j, &i->orders, place_job, n) {
       if (j->done) continue;
       if (t_past(now, t_add(j->asked, t_ms(LAPSE_MS)))) { j->held++; job_done(j, E_WAIT, 0); job_drop(j); continue; }
-      double worth = (10 - MIN(j->priority, 10)) * 500.0 + since_ms(g, j->since) + 300 * MIN(rate_of(g, j->model, j->adapter), 10);
+      double worth = job_worth(g, j);
       if (!best || worth > top) { best = j; top = worth; }
     }
     if (!best) {
@@ -737,7 +744,19 @@
   Wire__PlaceBack *b = reply_new(o, WIRE__ENVELOPE__BODY_PLACEBACK, &wire__place_back__descriptor);
   b->up = j->done && !j->code;
   b->code = (uint32_t)(j->done ? j->code : E_WAIT);
-  b->wait = (uint64_t)(j->done ? j->wait : ms_till(g, j->due));
+  tick due = j->due;
+  if (!j->done && !j->begun) {
+    /* behind the one in hand, and those that come first */
+    double ms = 30;
+    list_each(k, &i->orders, place_job, n) {
+      const service *s = service_of(g, i->service);
+      if (k->done || !s) continue;
+      if (k->begun) ms += (double)ms_till(g, k->due);
+      else if (k == j || job_worth(g, k) > job_worth(g, j)) ms += (instance_resident(i, k->model) ? 0 : time_of(g, s, k->model, none, g_hash_table_contains(i->held_before, k->model.s))) + (id_none(k->adapter) ? 0 : time_of(g, s, k->model, k->adapter, false));
+    }
+    due = ms_from(g, ms);
+  }
+  b->wait = (uint64_t)(j->done ? j->wait : ms_till(g, due));
   b->begun = j->begun;
   job_drop(j);
   instance_unref(i);
@@ -758,15 +777,15 @@
   return true;
 }
 
-/* how long the placements of this coordinator keep an engine busy before another may begin, in ms */
-static double queued_on(gate *g, id engine) {
-  double ms = 0;
+/* how long the placements of this coordinator keep an engine busy before one may begin, in ms */
+static double queued_on(gate *g, id engine, const placing *by) {
+  double ms = 0, worth = load_worth(g, by->priority, by->model, by->adapter);
   GHashTableIter it;
   gpointer p;
   g_hash_table_iter_init(&it, g->placings);
   while (g_hash_table_iter_next(&it, NULL, &p)) {
     placing *k = p;
-    if (k->done || !id_eq(k->engine, engine)) continue;
+    if (k == by || k->done || !id_eq(k->engine, engine) || (!k->begun && load_worth(g, k->priority, k->model, k->adapter) < worth)) continue;
     const service *s = service_of(g, k->service);
     instance *i = instance_find(g, engine.s);
     if (!s || !i) continue;
@@ -830,7 +849,7 @@
       if (p->copy && cost > worth) { *code = E_ROOM; continue; }
       double load_ms = (there ? 0 : time_of(g, s, p->model, none, warm)) + (id_none(p->adapter) ? 0 : time_of(g, s, p->model, p->adapter, warm));
       unsigned all = i->slots ? i->slots : s->engine_slots;
-      double delay = load_ms + drain + queued_on(g, i->self) + (all ? 300.0 * instance_running(i) / all : 0) + (there || warm ? 0 : 300) + (cost > 0 ? 60 : 0);
+      double delay = load_ms + drain + queued_on(g, i->self, p) + (all ? 300.0 * instance_running(i) / all : 0) + (there || warm ? 0 : 300) + (cost > 0 ? 60 : 0);
       cost += delay * MAX(lambda, 0.6) + (double)w_draw(g->v->s.w, 10);
       if (!best || cost < least) { best = i; least = cost; p->cost = evict; }
     }
@@ -862,6 +881,7 @@
     char addr[48];
     if (!i || i->gone || !holder_addr(g, i->self, addr)) i = choose(g, p, s, not_these, &code);
     if (!i || !holder_addr(g, i->self, addr)) {
+      whisper(&g->v->s.log, "placing", "%s+%s has no engine: code %d, %u passed over.", p->model.s, p->adapter.s, code, not_these->len);
       p->engine = none;
       /* contracts change hands within some seconds; a fleet without room says so soon */
       if (p->copy || ++blanks > (code == E_ROOM ? 4 : 12)) { wait = p->copy ? 3000 : 500; break; }
@@ -872,7 +892,7 @@
     if (!id_eq(p->engine, i->self)) {
       p->engine = i->self;
       bool warm = g_hash_table_contains(i->held_before, p->model.s);
-      p->due = ms_from(g, 30 + queued_on(g, i->self) + (id_none(p->adapter) ? 0 : time_of(g, s, p->model, p->adapter, warm)));
+      p->due = ms_from(g, 30 + queued_on(g, i->self, p) + (instance_resident(i, p->model) ? 0 : time_of(g, s, p->model, none, warm)) + (id_none(p->adapter) ? 0 : time_of(g, s, p->model, p->adapter, warm)));
     }
     id engine = i->self;
     Wire__Place q = WIRE__PLACE__INIT;
@@ -894,9 +914,11 @@
       if (i && !p->copy && !instance_copies(g, p->service, p->model, p->adapter) && !w_nap(g->v->s.w, t_ms(RECENT_MS))) code = E_DEAD;
       break;
     }
+    whisper(&g->v->s.log, "placing", "%s+%s at %s: code %d, begun %d, wait %" PRId64 ", cost %.0f.", p->model.s, p->adapter.s, engine.s, r, begun, wait, p->cost);
     if (r == E_WAIT) {
       p->due = ms_from(g, (double)wait);
       /* one that still stands in line may be better off elsewhere by now; the old place lapses unasked */
+      p->begun = begun;
       if (!begun) p->engine = none;
       continue;
     }
