--- a/lib/gate/loader.c
+++ b/lib/gate/loader.c
@@ -898,7 +898,8 @@
     Wire__Place q = WIRE__PLACE__INIT;
     q.engine = engine.s; q.service = p->service.s; q.model = p->model.s; q.adapter = p->adapter.s; q.priority = p->priority; q.wait = ASK_MS; q.copy = p->copy;
     /* what is asked for much may push out what is asked for less, however dear the room has become meanwhile */
-    q.costmost = (uint64_t)MAX(2 * p->cost + 1000, time_of(g, s, p->model, p->adapter, false) * rate_of(g, p->model, p->adapter));
+    int shares = p->copy ? instance_copies(g, s->name, p->model, p->adapter) + 1 : 1;
+    q.costmost = (uint64_t)MAX(2 * p->cost + 1000, time_of(g, s, p->model, p->adapter, false) * rate_of(g, p->model, p->adapter) / shares);
     Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_PLACE, &q), *b;
     err x = { 0 };
     int r = site_call(&g->v->s, addr, &m, t_ms(CALL_MS), &b, &x);
--- a/lib/mast/core.c
+++ b/lib/mast/core.c
@@ -1151,6 +1151,8 @@
   c->up = true;
   c->linkOk = c->upAt = c->votersAt = w_now(s->w);
   c->actFrom = t_add(c->upAt, t_ms(LEASE_MS + LEASE_SLACK_MS));
+  /* what this machine renewed as head of the same view, it renewed before it ended */
+  c->headFrom = c->upAt;
   c->mendFrom = t_add(c->actFrom, t_ms(200));
   if (wedged(c)) c->wedged = w_now(s->w);
   say(&s->log, "core", "Disk %016" PRIx64 " is %s, at write %" PRIu64 ", view %" PRIu64 ".", c->diskId, what == FOUND_BLANK ? "blank" : "sound", c->last, c->now.epoch);
--- a/lib/mast/mast.c
+++ b/lib/mast/mast.c
@@ -48,7 +48,9 @@
     Wire__HoldGot *a = got_add(x, h->duty);
     if (g) {
       tick till = bound_till(x->m, h->duty);
-      if (!t_past(now, till)) {
+      /* a later run of the holder itself: the run before it is over, and orders go on under the same name */
+      bool again = x->m->s.v.loose && id_eq(g->holder, x->who);
+      if (!again && !t_past(now, till)) {
         a->holder = held(x->o, g->holder.s);
         a->wait = t_sub(till, now).us / 1000 + 1;
         continue;
--- a/lib/vane/duty.c
+++ b/lib/vane/duty.c
@@ -1,7 +1,7 @@
 #include "vane.h"
 #include <stdio.h>
 
-enum { RENEW_MS = 600, ASK_MS = 300, GIVE_BACK_MS = 20000, FORGET_MS = 10000, STEADY_MS = 1500, IDLE_MS = 2500 };
+enum { RENEW_MS = 600, ASK_MS = 300, GIVE_BACK_MS = 20000, FORGET_MS = 10000, STEADY_MS = 1500, STEADY_LOOSE_MS = 700, IDLE_MS = 2500 };
 
 void duty_engine(char *buf, size_t n, id e) { snprintf(buf, n, "engine:%s", e.s); }
 
@@ -153,7 +153,7 @@
   tick from = v->headAt = w_now(v->s.w);
   while (w_nap_about(v->s.w, t_ms(ASK_MS))) {
     /* a young process knows few others yet and would think itself first */
-    if (!t_past(w_now(v->s.w), t_add(from, t_ms(STEADY_MS)))) continue;
+    if (!t_past(w_now(v->s.w), t_add(from, t_ms(v->s.v.loose ? STEADY_LOOSE_MS : STEADY_MS)))) continue;
     GPtrArray *ask = g_ptr_array_new();
     GHashTableIter it;
     gpointer q;
