--- a/lib/gate/loader.c
+++ b/lib/gate/loader.c
@@ -74,7 +74,10 @@
       int copies = MAX(1, instance_copies(g, i->service, c->model, c->adapter));
       c->rate = rate_of(g, c->model, c->adapter) / copies;
       c->penalty = time_of(g, s, c->model, c->adapter, false);
-      c->used = r->last_used;
+      char key[140];
+      history_key(key, sizeof key, c->model, c->adapter);
+      tick used = history_used(&g->v->h, key);
+      c->used = k < 0 && r->last_used.us > used.us ? r->last_used : used;
       c->busy = instance_runs(i, c->model, c->adapter);
       bool young = k < 0 && r->up_at.us && !t_past(now, t_add(r->up_at, t_ms(YOUNG_MS))) && r->last_used.us < r->up_at.us;
       c->barred = r->unloading || young || wanted_here(i, c->model, c->adapter) || (k < 0 && !id_none(adapter) && id_eq(r->model, model));
@@ -85,6 +88,12 @@
 
 static uint64_t chance(void *w) { return ((world *)w)->draw(w); }
 
+/* the policy resource says by what the least worth is told; the paper's rule stands until there is one */
+static policy policy_of(gate *g) {
+  const config *c = g->v->now;
+  return c ? (policy){ c->eviction, config_formula(c, c->eviction), now_of(g) } : (policy){ "cremebrulee", NULL, now_of(g) };
+}
+
 static lack lack_of(const service *s, double mb, unsigned slots, double add_mb, unsigned add_slots) {
   double over = mb + add_mb - s->weights_mb;
   lack l = { over > 0 ? (uint64_t)ceil(over) : 0, slots + add_slots > s->adapter_slots ? slots + add_slots - s->adapter_slots : 0 };
@@ -111,7 +120,7 @@
   if (add > s->weights_mb || more > s->adapter_slots) return -1;
   lack l = lack_of(s, mb, slots, add, more);
   if (!l.megs && !l.slots) return 0;
-  policy rule = { "cremebrulee", NULL, now_of(i->g) };
+  policy rule = policy_of(i->g);
   int got = policy_fill(&rule, all, n, l, chance, i->g->v->s.w);
   if (got < 0) return -1;
   double cost = 0;
@@ -329,7 +338,7 @@
     const json *o = json_at(m, k), *a = json_get(o, "adapters");
     wire__resident__init(&r[k]);
     r[k].model = (char *)json_text(o, "name", "");
-    r[k].edition = (uint64_t)MAX(0, json_num(o, "version", 0));
+    r[k].version = (uint64_t)MAX(0, json_num(o, "version", 0));
     r[k].n_adapters = a ? json_count(a) : 0;
     r[k].adapters = g_new(char *, r[k].n_adapters + 1);
     for (size_t t = 0; t < r[k].n_adapters; t++) {
@@ -455,7 +464,7 @@
     int n = residents_as(i, s, model, adapter, all, &held_mb, &held_slots);
     lack l = lack_of(s, held_mb, held_slots, mb, slots);
     if (!l.megs && !l.slots) return OK;
-    policy rule = { "cremebrulee", NULL, now_of(i->g) };
+    policy rule = policy_of(i->g);
     int got = policy_fill(&rule, all, n, l, chance, i->g->v->s.w);
     if (got <= 0) return err_set(x, E_ROOM, "nothing on %s may be unloaded for %s now", i->self.s, model.s);
     whisper(&i->g->v->s.log, "place", "%s goes from %s for %s+%s: rate %.2f a copy, worth %.0f, one of %d.", all[0].model.s, i->self.s, model.s, adapter.s, all[0].rate, all[0].penalty * all[0].rate, got);
@@ -529,7 +538,11 @@
     if (st == 0 && tries >= 3) { r = err_set(x, E_ENGINE, "%s can't be reached", i->self.s); *wait = 500; break; }
     if ((r = nap(i, st == 409 ? 60 : 100, x))) break;
   }
-  if (r) { if (owed) { i->owed_mb = MAX(0, i->owed_mb - mb); i->owed_slots -= MIN(i->owed_slots, slots); } return r; }
+  if (r) {
+    if (owed) { i->owed_mb = MAX(0, i->owed_mb - mb); i->owed_slots -= MIN(i->owed_slots, slots); }
+    if (r == E_ORDER) { g->load_fails++; g->n.failed_loads++; }
+    return r;
+  }
   if (base && st != 200) {
     g->n.loads++;
     g->v->loads++;
@@ -577,8 +590,10 @@
     history_add(&g->v->h, (entry){ EV_FAILED, { 0 }, i->self, model, adapter, 0 });
     /* what it may still hold of this keeps its room until its own report was read again */
     if (owed) i->known_epoch = 0;
+    if (r == E_ORDER) { g->load_fails++; g->n.failed_loads++; }
     return r;
   }
+  g->load_fails = 0;
   if (owed) { i->owed_mb = MAX(0, i->owed_mb - mb); i->owed_slots -= MIN(i->owed_slots, slots); }
   double ms = since_ms(g, began);
   if (sure && !known && !i->gone) {
