Hot models get several copies at once, by what waits for them over the fleet

Ruled out: streams stalled by us (the last event was ms old when clients left), room on engines (13 copies in 14 s, all found an engine at no cost). Now a queue of others' tokens counts as the second sighting, and the coordinator places as many copies as would clear what waits, four at a time.

--- a/lib/gate/gate.h
+++ b/lib/gate/gate.h
@@ -216,6 +216,8 @@
 int want_model(gate *g, const service *s, id model, id adapter, unsigned priority, bool copy, double *est_ms, int64_t *wait);
 void loader_start(gate *g);
 void loader_free(gate *g);
+/** How many more copies of a model would clear what waits for it, as far as this node knows. */
+int copies_short(gate *g, id service, id model, id adapter);
 /** What a placement on an instance would cost: the worth (ms a second) of what had to go for it; -1 when it can't fit now.
  *  need_mb and need_slots say what is missing. */
 double place_cost(instance *i, const service *s, id model, id adapter, double *need_mb, unsigned *need_slots);
--- a/lib/gate/loader.c
+++ b/lib/gate/loader.c
@@ -3,7 +3,7 @@
 #include <stdio.h>
 
 enum { ALIVE_MS = 1600, ASK_MS = 800, CALL_MS = 1300, ORDER_MS = 1500, REPORT_MS = 800, LAG_MS = 450, YOUNG_MS = 3000, TICKET_MS = 400, LAST_MS = 150,
-       UNLOAD_MS = 12000, RATES_MS = 2000, RECENT_MS = 60, FAIL_MS = 800, ONE_COORDINATOR = 32, BUSY_COST = 300, SURE_MS = 1800, CANDS = 96 };
+       UNLOAD_MS = 12000, RATES_MS = 2000, RECENT_MS = 60, FAIL_MS = 800, ONE_COORDINATOR = 32, BUSY_COST = 300, SURE_MS = 1800, CANDS = 96, AHEAD_MS = 250, COPIES_AT_ONCE = 4 };
 
 /* what this node asks for; lives while requests ask again */
 typedef struct want_job { char *key; id service, model, adapter; unsigned priority; bool copy, lost; tick asked, due, failed_till; int code; id tried; tick tried_till; } want_job;
@@ -751,6 +751,32 @@
   return NULL;
 }
 
+/* how many more copies of a thing would clear what waits for their first event at those that hold it, within AHEAD_MS each */
+int copies_short(gate *g, id service, id model, id adapter) {
+  double ms = 0;
+  int have = 0;
+  list_each(i, &g->instances, instance, n) {
+    if (i->gone || i->leaving || !id_eq(i->service, service) || !instance_holds(i, model, adapter)) continue;
+    have++;
+    ms += i->ms_per_token * instance_waiting(i);
+  }
+  return have ? CLAMP((int)(ms / AHEAD_MS) - have, 0, COPIES_AT_ONCE) : 0;
+}
+
+/* copies of a thing that are being placed */
+static int copies_coming(gate *g, const placing *p, const instance *at) {
+  int n = 0;
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init(&it, g->placings);
+  while (g_hash_table_iter_next(&it, NULL, &v)) {
+    placing *o = v;
+    if (o == p || o->done || !id_eq(o->model, p->model) || !id_eq(o->adapter, p->adapter) || !id_eq(o->service, p->service)) continue;
+    n += !at || id_eq(o->engine, at->self);
+  }
+  return n;
+}
+
 /* the engine where a thing costs least: what had to go, how long it waits and loads, how busy the engine is */
 static instance *choose(gate *g, placing *p, const service *s, const GPtrArray *not_these, int *code) {
   instance *best = NULL;
@@ -767,7 +793,7 @@
       char addr[48];
       if (!id_eq(i->service, s->name) || i->gone || i->leaving || !i->models_known || (i->suspect && !round) || (!instance_usable(i) && !round)) continue;
       if (i->ends_at.us && !t_past(i->ends_at, ms_from(g, 30000))) continue;
-      if (p->copy && instance_holds(i, p->model, p->adapter)) continue;
+      if (p->copy && (instance_holds(i, p->model, p->adapter) || copies_coming(g, p, i))) continue;
       bool barred = false;
       for (guint k = 0; k < not_these->len; k++) barred |= !strcmp(not_these->pdata[k], i->self.s);
       if (barred || !holder_addr(g, i->self, addr)) continue;
@@ -856,6 +882,35 @@
   placing_drop(g, p);
 }
 
+static placing *placing_start(gate *g, char *key, id service, id model, id adapter, unsigned priority, bool copy) {
+  placing *p = g_new0(placing, 1);
+  p->key = key;
+  p->service = service; p->model = model; p->adapter = adapter; p->priority = priority; p->copy = copy;
+  p->asked = now_of(g);
+  bell_init(&p->b);
+  p->held = 1;
+  placing *was = g_hash_table_lookup(g->placings, key);
+  /* one that is done and still read by somebody leaves the table and is freed by the last reader */
+  if (was) g_hash_table_steal(g->placings, key);
+  g_hash_table_insert(g->placings, p->key, p);
+  struct { gate *g; placing *p; } *t = g_malloc(sizeof *t);
+  t->g = g; t->p = p;
+  task_start(&g->v->s.w->tasks, "placing", placing_run, t);
+  return p;
+}
+
+/* a thing that became wanted of a sudden needs several copies, and one after the other would come too late */
+static void copies_more(gate *g, const placing *p) {
+  int more = copies_short(g, p->service, p->model, p->adapter) - 1 - copies_coming(g, p, NULL);
+  for (int k = 2; k <= COPIES_AT_ONCE && more > 0; k++) {
+    char *key = g_strdup_printf("%s#%d", p->key, k);
+    placing *o = g_hash_table_lookup(g->placings, key);
+    if (o && !o->done) { o->asked = now_of(g); g_free(key); continue; }
+    placing_start(g, key, p->service, p->model, p->adapter, p->priority, true);
+    more--;
+  }
+}
+
 static int on_want(void *ctx, Wire__Envelope *in, reply *o, err *x) {
   gate *g = ctx;
   Wire__Want *q = in->want;
@@ -864,21 +919,8 @@
   char *key = key_of(s, m, a);
   placing *p = g_hash_table_lookup(g->placings, key);
   if (p && p->done) { p = NULL; }
-  if (!p) {
-    p = g_new0(placing, 1);
-    p->key = g_strdup(key);
-    p->service = s; p->model = m; p->adapter = a; p->priority = q->priority; p->copy = q->copy;
-    p->asked = now_of(g);
-    bell_init(&p->b);
-    p->held = 1;
-    placing *was = g_hash_table_lookup(g->placings, key);
-    /* one that is done and still read by somebody leaves the table and is freed by the last reader */
-    if (was) g_hash_table_steal(g->placings, key);
-    g_hash_table_insert(g->placings, p->key, p);
-    struct { gate *g; placing *p; } *t = g_malloc(sizeof *t);
-    t->g = g; t->p = p;
-    task_start(&g->v->s.w->tasks, "placing", placing_run, t);
-  }
+  if (!p) p = placing_start(g, g_strdup(key), s, m, a, q->priority, q->copy);
+  if (q->copy) copies_more(g, p);
   g_free(key);
   p->asked = now_of(g);
   p->priority = MIN(p->priority, q->priority);
--- a/lib/gate/select.c
+++ b/lib/gate/select.c
@@ -62,15 +62,16 @@
 
 typedef struct slow_note { tick at, asked; } slow_note;
 
-/* a model whose best estimate is slow for a second request within a second gets one more copy */
-static void spread(gate *g, const pick_ask *q, double est) {
+/* a model whose best estimate is slow for a second request within a second, or because of others that wait there, gets
+   one more copy: where nodes are many, each of them sees few requests of a model */
+static void spread(gate *g, const pick_ask *q, double est, double queue_ms) {
   if (!q->target_ms || est < 0.45 * (double)q->target_ms) return;
   char key[160];
   snprintf(key, sizeof key, "%s/%s+%s", q->to->name.s, q->model.s, q->adapter.s);
   tick now = w_now(g->v->s.w);
   slow_note *s = g_hash_table_lookup(g->slow, key);
   if (!s) { s = g_new0(slow_note, 1); g_hash_table_insert(g->slow, g_strdup(key), s); }
-  bool again = s->at.us && !t_past(now, t_add(s->at, t_ms(SLOW_MS)));
+  bool again = queue_ms > 0.4 * (double)q->target_ms || (s->at.us && !t_past(now, t_add(s->at, t_ms(SLOW_MS))));
   s->at = now;
   if (!again || (s->asked.us && !t_past(now, t_add(s->asked, t_ms(COPY_MS))))) return;
   s->asked = now;
@@ -116,7 +117,7 @@
   for (int k = 0; k < n; k++) clear |= !c[k]->suspect && !(c[k]->shunned_till.us > now.us);
   instance *best = NULL;
   double least = 0, best_est = 0, best_fresh = 0;
-  double soonest = -1;
+  double soonest = -1, queue_ms = -1;
   for (int k = 0; k < n; k++) {
     instance *i = c[k];
     unsigned slots = i->slots ? i->slots : s->engine_slots;
@@ -129,6 +130,7 @@
     double ahead = instance_waiting(i), run_ms = i->usual_run;
     double est = est_first(i->base_ms, i->ms_per_token, ahead, fresh, running, slots, run_ms);
     if (soonest < 0 || est < soonest) soonest = est;
+    if (queue_ms < 0 || i->ms_per_token * ahead < queue_ms) queue_ms = i->ms_per_token * ahead;
     if (slots && running >= (int)slots + (llm ? 0 : 2)) continue;
     if (q->left_ms > 0 && est > (double)q->left_ms) continue;
     double cost = est;
@@ -145,7 +147,7 @@
     if (!best || cost < least) { best = i; least = cost; best_est = est; best_fresh = fresh; }
   }
   *est_ms = best ? best_est : MAX(soonest, 0);
-  if (llm && held) spread(g, q, best ? best_est : 1e9);
+  if (llm && held) spread(g, q, best ? best_est : 1e9, queue_ms);
   if (!best) return NULL;
   *why = PICK_OK;
   best->picked_model = q->model;
