Failures of engines that live are told to all nodes; what fails too often gets work last

Cause: an engine that fails 40 % of its work and answers the rest was cleared by each success, and at 63 nodes each node sees one attempt in 15 s. Now failures at engines that are neither full nor just ordered about fade over seconds and are told to all with the loads; 2.5 of late make an engine ill for 2 s and longer each time, and it gets work, or copies, only where nothing else does. A node that fails with most engines accuses nobody. Story failures_now_and_then_add_up_over_nodes, seen to fail with the mark set out of reach.

--- a/lib/gate/forward.c
+++ b/lib/gate/forward.c
@@ -35,6 +35,7 @@
   /* of a stream: what was passed on */
   bool joined, unsure;
   uint64_t last_id;
+  tick heard;               /* when the last bytes of a stream came */
   char last_text[32], versions[24];
   /* of an end that is ours */
   int status;
@@ -380,7 +381,7 @@
   for (;;) {
     if (a->gone || w->tasks.dead) return END_LEFT;
     tick now = now_of(f);
-    if (c->got->len) { last = f->at.i->last_byte = now; again = (tick){ 0 }; }
+    if (c->got->len) { f->heard = last = f->at.i->last_byte = now; again = (tick){ 0 }; }
     size_t n = whole_events(c->got->str, c->got->len), from = 0;
     if (n) {
       if (!events) { first_byte(f, (double)t_sub(now, *sent).us / 1000); events = true; }
@@ -529,7 +530,7 @@
 }
 
 static enum end attempt(flight *f) {
-  tick from = now_of(f);
+  tick from = f->heard = now_of(f);
   /* bytes are only joined behind what was passed on; before that, a stream is sent anew */
   f->joined = f->a->began;
   f->declined = false;
@@ -544,6 +545,8 @@
   if (e == END_LEFT) ok = headed || ms_since(f, from) < MAX(500, 3 * traffic_of(f->g, f->to)->first_ms);
   if (e == END_AGAIN) ok = headed && !c->broken;
   if (e == END_LATE) ok = headed;
+  /* a stream that fell silent at an engine that is not busy */
+  if ((e == END_LEFT || e == END_LATE) && ok && headed && ms_since(f, f->heard) > MAX(1000, 3.0 * (double)f->r->gap_ms) && instance_at_ease(f->at.i)) instance_failed_here(f->at.i);
   if (e == END_NOT_SENT) avoid(f, f->at.i->self);
   if (e == END_DONE) {
     traffic *t = traffic_of(f->g, f->to);
--- a/lib/gate/gate.h
+++ b/lib/gate/gate.h
@@ -43,6 +43,9 @@
   tick oldest_wait;         /* since when the oldest own request waits for a first byte; 0 when none */
   int fails;                /* in a row */
   bool suspect;             /* silent although work is there: only fresh channels, and no once-only work */
+  double ill;               /* failures of late, as seen by all nodes, fading away; and since when they are too many */
+  tick ill_at, ill_till;
+  int ill_times, ill_unsaid;
   double ms_per_token, base_ms;   /* learnt: time to the first event is about base + tokens * this + what waits */
   /* placement: only at its holder */
   node orders;              /* struct place_job */
@@ -162,6 +165,13 @@
 bool instance_runs(const instance *i, id model, id adapter);
 /** True when it gives no sign of life although work was sent there, so that what it holds had better be elsewhere too. */
 bool instance_lost(const instance *i);
+/** Notes failures that were seen by this node, or by another whose word weighs less; what fails now and then although it
+ * lives is ill for a while, longer each time, and gets work only where nothing else is. */
+void instance_failed(instance *i, double weight);
+void instance_failed_here(instance *i);
+bool instance_ill(const instance *i);
+/** True when it is not full and was not ordered about of late, so that a failure, or work declined, is its own doing. */
+bool instance_at_ease(const instance *i);
 /** How many instances of a service hold a model and adapter, and give signs of life. */
 int instance_copies(gate *g, id service, id model, id adapter);
 /** Looks at silence and failures again. */
--- a/lib/gate/instances.c
+++ b/lib/gate/instances.c
@@ -1,8 +1,11 @@
 #include "gate.h"
+#include <math.h>
 #include <stdio.h>
 
 enum { ABSENT_MS = 2500, SETTLE_MS = 1500, GOING_MS = 3000, TOMB_MS = 60000, ENDS_MS = 1000, SHUN_MS = 150, SHUN_MOST_MS = 3000, TRIAL_MS = 400,
-       SILENT_MS = 400, LOST_FAILS = 3, LOST_MS = 800, LOADS_MS = 250, LOADS_ALL = 16, LOADS_SOME = 12 };
+       SILENT_MS = 400, LOST_FAILS = 3, LOST_MS = 800, LOADS_MS = 250, LOADS_ALL = 16, LOADS_SOME = 12,
+       ILL_FADE_MS = 2500, ILL_MS = 2000, ILL_MOST_MS = 16000, ILL_WELL_MS = 12000, ORDERED_MS = 3000, OWN_FAULT = 3 };
+static const double ILL_AT = 2.5, ILL_AGAIN = 1, ILL_AFAR = 0.6;
 
 /* one own request under way: what it asked for, and whether its first event has come */
 typedef struct run_note { id model, adapter; tick at; double tokens, fresh; bool first; } run_note;
@@ -256,6 +259,36 @@
   return i->last_byte.us < since.us && t_past(now_of(i), after(i->last_byte, LOST_MS));
 }
 
+bool instance_ill(const instance *i) { return i->ill_till.us > now_of(i).us; }
+
+void instance_failed(instance *i, double weight) {
+  tick now = now_of(i);
+  if (i->gone || instance_ill(i)) return;
+  /* one that was ill has less patience to lose, until it has been well for long */
+  if (i->ill_times && t_past(now, after(i->ill_till, ILL_WELL_MS))) i->ill_times = 0;
+  double gap = (double)t_sub(now, i->ill_at).us / 1000;
+  i->ill = (i->ill_at.us ? i->ill * exp2(-gap / ILL_FADE_MS) : 0) + weight;
+  i->ill_at = now;
+  if (i->ill < (i->ill_times ? ILL_AGAIN : ILL_AT)) return;
+  i->ill = 0;
+  i->ill_till = after(now, MIN((int64_t)ILL_MS << MIN(i->ill_times, 6), ILL_MOST_MS));
+  i->ill_times++;
+  whisper(&i->g->v->s.log, "engine", "%s at %s fails too often.", i->self.s, i->addr);
+}
+
+void instance_failed_here(instance *i) {
+  i->ill_unsaid++;
+  instance_failed(i, 1);
+}
+
+bool instance_at_ease(const instance *i) {
+  tick now = now_of(i);
+  if (i->slots && 2 * instance_running(i) > (int)i->slots) return false;
+  if (i->ms_per_token * instance_waiting(i) > ILL_MS / 4 || !t_past(now, after(i->ordered_at, ORDERED_MS))) return false;
+  for (guint k = 0; k < i->changes->len; k++) if (!t_past(now, after(g_array_index(i->changes, change_note, k).at, ORDERED_MS))) return false;
+  return true;
+}
+
 void instance_loaded(instance *i, id model, id adapter) {
   if (i->gone) return;
   resident *r = resident_any(i, model);
@@ -374,6 +407,7 @@
   }
   i->failed_at = now;
   i->fails++;
+  if (instance_at_ease(i)) instance_failed_here(i);
   i->shunned_till = after(now, MIN((int64_t)SHUN_MS << MIN(i->fails - 1, 6), SHUN_MOST_MS));
 }
 
@@ -497,6 +531,8 @@
     if (at) *at = n;
     else g_array_append_val(i->others, n);
     others_count(i);
+    bool near = !strcmp(in->from->area, g->v->s.v.area.s);
+    if (l->fails) instance_failed(i, MIN(l->fails, 4) * (near ? 1 : ILL_AFAR));
   }
   return OK;
 }
@@ -529,6 +565,13 @@
   while (w_nap_about(s->w, t_ms(LOADS_MS))) {
     tick now = w_now(s->w);
     GPtrArray *all = g_ptr_array_new_with_free_func(load_free), *to = g_ptr_array_new();
+    /* a node that fails with most engines ails itself, and accuses nobody */
+    int failing = 0, well_now = 0;
+    list_each(i, &g->instances, instance, n) {
+      failing += i->ill_unsaid > 0;
+      well_now += i->last_ok.us && !t_past(now, after(i->last_ok, SETTLE_MS));
+    }
+    bool own = failing >= OWN_FAULT && failing > well_now, tell = false;
     g->nodes = 1;
     list_each(m, &s->machines, machine, n) if (m->role == ROLE_VANE && !m->gone) { g->nodes++; g_ptr_array_add(to, m); }
     bool some = false;
@@ -539,13 +582,17 @@
       }
       instance_check(i);
       others_count(i);
-      if (!i->running && !said) continue;
+      int failed = own ? 0 : i->ill_unsaid;
+      i->ill_unsaid = 0;
+      tell |= failed > 0;
+      if (!i->running && !said && !failed) continue;
       if (i->running) some = true;
       Wire__Load *l = g_new(Wire__Load, 1);
       wire__load__init(l);
       l->engine = i->self.s;
       l->running = (uint32_t)i->running;
       l->tokens = (uint64_t)i->tokens;
+      l->fails = (uint32_t)failed;
       load_models(i, l);
       g_ptr_array_add(all, l);
     }
@@ -554,7 +601,8 @@
     q.n_loads = all->len;
     q.loads = (Wire__Load **)all->pdata;
     Wire__Envelope out = wire_msg(WIRE__ENVELOPE__BODY_LOADS, &q);
-    guint most = to->len <= LOADS_ALL ? to->len : LOADS_SOME;
+    /* failures are told to all: each node alone sees too few of them */
+    guint most = to->len <= LOADS_ALL || tell ? to->len : LOADS_SOME;
     for (guint k = 0; all->len && k < most; k++) {
       guint pick_at = k + (guint)w_draw(s->w, to->len - k);
       machine *m = to->pdata[pick_at];
--- a/lib/gate/loader.c
+++ b/lib/gate/loader.c
@@ -791,7 +791,7 @@
   for (int round = 0; round < 2 && !best; round++)
     list_each(i, &g->instances, instance, n) {
       char addr[48];
-      if (!id_eq(i->service, s->name) || i->gone || i->leaving || !i->models_known || (i->suspect && !round) || (!instance_usable(i) && !round)) continue;
+      if (!id_eq(i->service, s->name) || i->gone || i->leaving || !i->models_known || ((i->suspect || instance_ill(i)) && !round) || (!instance_usable(i) && !round)) continue;
       if (i->ends_at.us && !t_past(i->ends_at, ms_from(g, 30000))) continue;
       if (p->copy && (instance_holds(i, p->model, p->adapter) || copies_coming(g, p, i))) continue;
       bool barred = false;
--- a/lib/gate/select.c
+++ b/lib/gate/select.c
@@ -2,7 +2,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-enum { CANDS = 512, PARTS = 32, SLOW_MS = 1000, COPY_MS = 1500 };
+enum { CANDS = 512, PARTS = 32, SLOW_MS = 1000, COPY_MS = 1500, ILL_COST = 3000 };
 
 double est_first(double base_ms, double ms_per_token, double ahead, double fresh, int running, unsigned slots, double run_ms) {
   double full = slots ? (double)running / slots : 0;
@@ -143,11 +143,12 @@
     }
     if (!llm) cost = est * (1 + (slots ? (double)running / slots : running));
     if (!id_eq(i->area, g->v->s.v.area)) cost += llm ? 3 : 1.5;
+    if (instance_ill(i)) cost += ILL_COST;
     cost += (double)w_draw(g->v->s.w, 1000) / 1000;
     if (!best || cost < least) { best = i; least = cost; best_est = est; best_fresh = fresh; }
   }
   *est_ms = best ? best_est : MAX(soonest, 0);
-  if (llm && held) spread(g, q, best ? best_est : 1e9, queue_ms);
+  if (llm && held) spread(g, q, best && !instance_ill(best) ? best_est : 1e9, best && instance_ill(best) ? 1e9 : queue_ms);
   if (!best) return NULL;
   *why = PICK_OK;
   best->picked_model = q->model;
--- a/tests/loader.c
+++ b/tests/loader.c
@@ -309,10 +309,68 @@
   return true;
 }
 
+/* one model becomes wanted of a sudden: as many copies as clear what waits, and none for a queue that is short */
+static bool what_waits_says_how_many_copies(fleet *f) {
+  bare *b = bare_new(f);
+  id s = id_c("s"), big = id_c("big"), none = id_c("");
+  instance *i = beat(b, "e1", "10.0.0.1:80", 1, 0, "big"), *k = beat(b, "e2", "10.0.0.2:80", 1, 0, "big");
+  beat(b, "e3", "10.0.0.3:80", 1, 0, "mid");
+  WANT(f, copies_short(&b->g, s, big, none) == 0);
+  i->others_tokens = 4000;
+  WANT(f, copies_short(&b->g, s, big, none) == 0);
+  i->others_tokens = 16000;
+  k->tokens = 4000;
+  WANT(f, copies_short(&b->g, s, big, none) == 2);
+  i->others_tokens = 100000;
+  WANT(f, copies_short(&b->g, s, big, none) == 4);
+  WANT(f, copies_short(&b->g, s, id_c("mid"), none) == 0 && copies_short(&b->g, s, id_c("low"), none) == 0);
+  bare_free(b);
+  return true;
+}
+
+/* an engine that fails some of its work and answers the rest: each node sees little of it, all together see enough */
+static bool failures_now_and_then_add_up_over_nodes(fleet *f) {
+  bare *b = bare_new(f);
+  instance *i = beat(b, "e1", "10.0.0.1:80", 1, 0, "big"), *k = beat(b, "e2", "10.0.0.2:80", 1, 0, "big");
+  pick_ask q = { .to = routing_service(b->r, "s"), .model = id_c("big"), .tokens = 1000, .left_ms = 4000 };
+  enum pick_none why;
+  double est;
+  /* one failure in some seconds is nobody's illness */
+  for (int n = 0; n < 6; n++) { instance_failed(i, 1); sim_run(f->s, t_ms(5000)); }
+  WANT(f, !instance_ill(i));
+  /* three within a moment are, though successes came between; of others from afar it takes more */
+  for (int n = 0; n < 3; n++) { instance_sent(i, 1000); instance_ended(i, false); sim_run(f->s, t_ms(200)); instance_sent(i, 1000); instance_first(i, 1000, 70, 1); instance_ended(i, true); }
+  WANT(f, instance_ill(i) && instance_usable(i));
+  for (int n = 0; n < 20; n++) WANT(f, pick(&b->g, &q, &why, &est) == k);
+  /* where nothing else holds it, an ill one is better than none */
+  q.avoid = &k->self; q.avoided = 1;
+  WANT(f, pick(&b->g, &q, &why, &est) == i);
+  q.avoided = 0;
+  /* it is let in again, and a failure soon after ends that for longer */
+  sim_run(f->s, t_ms(2100));
+  WANT(f, !instance_ill(i));
+  instance_failed(i, 1);
+  WANT(f, instance_ill(i));
+  sim_run(f->s, t_ms(2100));
+  WANT(f, instance_ill(i));
+  sim_run(f->s, t_ms(2100));
+  WANT(f, !instance_ill(i));
+  /* what is full, or was just ordered about, declines for good reason */
+  WANT(f, instance_at_ease(k));
+  k->others_running = 5;
+  WANT(f, !instance_at_ease(k));
+  k->others_running = 0;
+  instance_loaded(k, id_c("low"), id_c(""));
+  WANT(f, !instance_at_ease(k));
+  bare_free(b);
+  return true;
+}
+
 const story loader_stories[] = {
   { "room_counts_in_both_measures", room_counts_in_both_measures, 1, 1, 20 }, { "copies_share_a_rate", copies_share_a_rate, 1, 1, 20 },
   { "orders_outlast_older_beats", orders_outlast_older_beats, 1, 1, 20 }, { "failures_shun_and_a_byte_clears", failures_shun_and_a_byte_clears, 1, 1, 20 },
   { "prompts_go_where_their_parts_are", prompts_go_where_their_parts_are, 1, 1, 100 }, { "estimates_rise_with_what_waits", estimates_rise_with_what_waits, 1, 1, 20 },
   { "the_store_is_never_rushed", the_store_is_never_rushed, 1, 1, 100 }, { "the_largest_goes_first", the_largest_goes_first, 1, 1, 20 },
-  { "silent_engines_come_back", silent_engines_come_back, 1, 1, 20 },
+  { "silent_engines_come_back", silent_engines_come_back, 1, 1, 20 }, { "what_waits_says_how_many_copies", what_waits_says_how_many_copies, 1, 1, 20 },
+  { "failures_now_and_then_add_up_over_nodes", failures_now_and_then_add_up_over_nodes, 1, 1, 60 },
   { NULL, NULL, 0, 0, 0 } };
