--- a/lib/gate/forward.c
+++ b/lib/gate/forward.c
@@ -5,7 +5,7 @@
 
 /* UP_MS: how long a connection may take to come up; SEND_MS: nothing is sent later than that after the choice. */
 enum { UP_MS = 300, SEND_MS = 400, TRIES = 4, AVOID_MOST = 8, BODY_MOST = 8 << 20, HEARD_MS = 2000, LATE_MS = 250, AGAIN_MS = 500,
-       STEP_MS = 200, SHUN_MS = 150, AGE_MS = 400, SILENCE_MS = 2000, TRANSIT_MS = 100 };
+       STEP_MS = 200, SHUN_MS = 150, AGE_MS = 400 };
 
 /** What became of one attempt. */
 enum end { END_DONE, END_AGAIN, END_NOT_SENT, END_NOT_RUN, END_FAILED, END_LATE, END_LEFT };
@@ -46,14 +46,6 @@
 static tick now_of(const flight *f) { return w_now(f->g->v->s.w); }
 static double ms_since(const flight *f, tick from) { return (double)t_sub(now_of(f), from).us / 1000; }
 static int64_t left_ms(const flight *f) { return t_sub(f->till, now_of(f)).us / 1000; }
-/* until when a first event helps: callers give a stream up after a silence, also before its first event */
-static tick patience(const flight *f) {
-  if (f->r->mode != MODE_STREAM || f->a->began) return f->till;
-  int64_t silence = MAX(SILENCE_MS, MAX(4 * f->r->target_ms, 8 * f->r->gap_ms)) - TRANSIT_MS;
-  tick by = t_add(f->since, t_ms(silence));
-  return by.us < f->till.us ? by : f->till;
-}
-static int64_t first_ms(const flight *f) { return t_sub(patience(f), now_of(f)).us / 1000; }
 static tick sooner(tick a, tick b) { return a.us < b.us ? a : b; }
 static bool repeats(const flight *f) { return f->r->mode == MODE_SAFE || (f->r->mode == MODE_STREAM && f->r->resumable); }
 static const char *word(const flight *f, enum dialect_field k) { return f->g->x.words->field[k]; }
@@ -98,7 +90,7 @@
 
 static bool choose(flight *f, seat *s) {
   pick_ask q = { .to = f->to, .model = f->model, .adapter = f->adapter, .prefix = f->r->affinity ? f->prefix : NULL, .tokens = f->tokens,
-                 .target_ms = f->r->target_ms, .left_ms = first_ms(f), .priority = f->r->priority, .once = !repeats(f), .avoid = f->avoid, .avoided = f->avoided };
+                 .target_ms = f->r->target_ms, .left_ms = left_ms(f), .priority = f->r->priority, .once = !repeats(f), .avoid = f->avoid, .avoided = f->avoided };
   f->why = PICK_OK;
   instance *i = pick(f->g, &q, &f->why, &f->est);
   if (!i) return false;
@@ -221,7 +213,7 @@
   world *w = g->v->s.w;
   if (f->at.i) return OK;
   tick from = now_of(f), asked = { 0 }, load_at = t_never();
-  int64_t whole = MAX(first_ms(f), 0), target = f->r->target_ms > 0 ? f->r->target_ms : whole;
+  int64_t whole = MAX(left_ms(f), 0), target = f->r->target_ms > 0 ? f->r->target_ms : whole;
   tick quarter = t_add(f->since, t_ms(target / 4)), half = t_add(f->since, t_ms(whole * 45 / 100));
   bool judged = false, wanted = false;
   int code = OK;
@@ -234,7 +226,7 @@
     if (f->a->gone) { code = E_GONE; break; }
     if (!ahead(f, true) && choose(f, &f->at)) { code = OK; break; }
     traffic *t = traffic_of(g, f->to);
-    int64_t left = first_ms(f);
+    int64_t left = left_ms(f);
     double need = MIN(t->first_ms, (double)target / 2);
     if (left <= need) { give_up(f, 503, 0, "no engine came free in time\n"); code = E_LATE; break; }
     tick step = t_add(now, t_ms(STEP_MS));
