A node names only the engines that it uses; what it does not name runs nothing

Cause: once a node ran anything, each of its casts named all 140 engines, idle ones too: some 2.5 kB, 48 times a second. Now only engines in use are named, and whoever hears that drops the rest of what that node said before. What is saved pays for telling 24 nodes at a time instead of 12. Story what_is_not_named_runs_no_more, seen to fail without the drop.

--- a/lib/gate/gate.h
+++ b/lib/gate/gate.h
@@ -180,6 +180,8 @@
 /** Prompt tokens that wait at it for their first event, of all nodes; and requests that run there. */
 double instance_waiting(const instance *i);
 int instance_running(const instance *i);
+/** Folds all that another node says it runs; its word on failures weighs more when it is near. */
+void instances_loads(gate *g, uint64_t nonce, bool near, const Wire__Loads *q);
 /** A digest of engines that came with news. */
 void instances_news(gate *g, const Wire__NewsBack *b);
 
--- a/lib/gate/instances.c
+++ b/lib/gate/instances.c
@@ -3,7 +3,7 @@
 #include <stdio.h>
 
 enum { ABSENT_MS = 2500, SETTLE_MS = 1500, GOING_MS = 3000, TOMB_MS = 60000, ENDS_MS = 1000, SHUN_MS = 150, SHUN_MOST_MS = 3000, TRIAL_MS = 400,
-       SILENT_MS = 400, LOST_FAILS = 3, LOST_MS = 800, LOADS_MS = 250, LOADS_ALL = 16, LOADS_SOME = 12,
+       SILENT_MS = 400, LOST_FAILS = 3, LOST_MS = 800, LOADS_MS = 250, LOADS_ALL = 24, LOADS_SOME = 24,
        ILL_FADE_MS = 2500, ILL_MS = 2000, ILL_MOST_MS = 16000, ILL_WELL_MS = 12000, ORDERED_MS = 3000, OWN_FAULT = 3 };
 static const double ILL_AT = 2.5, ILL_AGAIN = 1, ILL_AFAR = 0.6;
 
@@ -517,23 +517,35 @@
   g_free(mp);
 }
 
-static int on_loads(void *ctx, Wire__Envelope *in, reply *o, err *e) {
-  gate *g = ctx;
-  (void)o; (void)e;
+void instances_loads(gate *g, uint64_t nonce, bool near, const Wire__Loads *q) {
   tick now = w_now(g->v->s.w);
-  for (size_t k = 0; k < in->loads->n_loads; k++) {
-    Wire__Load *l = in->loads->loads[k];
+  for (size_t k = 0; k < q->n_loads; k++) {
+    Wire__Load *l = q->loads[k];
     instance *i = instance_find(g, l->engine);
     if (!i || i->gone) continue;
-    other_note n = { in->from->nonce, now, (int)MIN(l->running, 100000), (double)l->tokens, { 0 } }, *at = NULL;
+    other_note n = { nonce, now, (int)MIN(l->running, 100000), (double)l->tokens, { 0 } }, *at = NULL;
     for (size_t j = 0; j < l->n_models && j < OTHER_MODELS; j++) n.models[j] = l->models[j];
     for (guint j = 0; j < i->others->len; j++) if (g_array_index(i->others, other_note, j).nonce == n.nonce) at = &g_array_index(i->others, other_note, j);
     if (at) *at = n;
     else g_array_append_val(i->others, n);
     others_count(i);
-    bool near = !strcmp(in->from->area, g->v->s.v.area.s);
     if (l->fails) instance_failed(i, MIN(l->fails, 4) * (near ? 1 : ILL_AFAR));
   }
+  /* a node tells all that it runs: where it names no engine, it runs nothing there */
+  list_each(i, &g->instances, instance, n)
+    for (guint j = 0; j < i->others->len; j++) {
+      other_note *o = &g_array_index(i->others, other_note, j);
+      if (o->nonce != nonce || o->at.us == now.us) continue;
+      g_array_remove_index_fast(i->others, j);
+      others_count(i);
+      break;
+    }
+}
+
+static int on_loads(void *ctx, Wire__Envelope *in, reply *o, err *e) {
+  gate *g = ctx;
+  (void)o; (void)e;
+  instances_loads(g, in->from->nonce, !strcmp(in->from->area, g->v->s.v.area.s), in->loads);
   return OK;
 }
 
@@ -585,7 +597,7 @@
       int failed = own ? 0 : i->ill_unsaid;
       i->ill_unsaid = 0;
       tell |= failed > 0;
-      if (!i->running && !said && !failed) continue;
+      if (!i->running && !failed) continue;
       if (i->running) some = true;
       Wire__Load *l = g_new(Wire__Load, 1);
       wire__load__init(l);
@@ -596,19 +608,19 @@
       load_models(i, l);
       g_ptr_array_add(all, l);
     }
-    said = some;
     Wire__Loads q = WIRE__LOADS__INIT;
     q.n_loads = all->len;
     q.loads = (Wire__Load **)all->pdata;
     Wire__Envelope out = wire_msg(WIRE__ENVELOPE__BODY_LOADS, &q);
     /* failures are told to all: each node alone sees too few of them */
     guint most = to->len <= LOADS_ALL || tell ? to->len : LOADS_SOME;
-    for (guint k = 0; all->len && k < most; k++) {
+    for (guint k = 0; (all->len || said) && k < most; k++) {
       guint pick_at = k + (guint)w_draw(s->w, to->len - k);
       machine *m = to->pdata[pick_at];
       to->pdata[pick_at] = to->pdata[k];
       site_cast(s, m->addr, &out);
     }
+    said = some;
     g_ptr_array_free(all, TRUE);
     g_ptr_array_free(to, TRUE);
   }
--- a/tests/loader.c
+++ b/tests/loader.c
@@ -366,6 +366,31 @@
   return true;
 }
 
+/* a node names only the engines that it runs something on, and the rest of what it said before is over */
+static bool what_is_not_named_runs_no_more(fleet *f) {
+  bare *b = bare_new(f);
+  instance *i = beat(b, "e1", "10.0.0.1:80", 1, 0, "big"), *k = beat(b, "e2", "10.0.0.2:80", 1, 0, "big");
+  Wire__Load one = WIRE__LOAD__INIT, two = WIRE__LOAD__INIT, *all[2] = { &one, &two };
+  Wire__Loads q = WIRE__LOADS__INIT;
+  one.engine = "e1"; one.running = 3; one.tokens = 900;
+  two.engine = "e2"; two.running = 2; two.tokens = 500;
+  q.loads = all; q.n_loads = 2;
+  instances_loads(&b->g, 7, true, &q);
+  sim_run(f->s, t_ms(10));
+  q.n_loads = 1;
+  instances_loads(&b->g, 8, true, &q);
+  WANT(f, i->others_running == 6 && k->others_running == 2);
+  sim_run(f->s, t_ms(10));
+  instances_loads(&b->g, 7, true, &q);
+  WANT(f, i->others_running == 6 && k->others_running == 0 && k->others_tokens == 0);
+  q.n_loads = 0;
+  sim_run(f->s, t_ms(10));
+  instances_loads(&b->g, 7, true, &q);
+  WANT(f, i->others_running == 3 && near(i->others_tokens, 900));
+  bare_free(b);
+  return true;
+}
+
 const story loader_stories[] = {
   { "room_counts_in_both_measures", room_counts_in_both_measures, 1, 1, 20 }, { "copies_share_a_rate", copies_share_a_rate, 1, 1, 20 },
   { "orders_outlast_older_beats", orders_outlast_older_beats, 1, 1, 20 }, { "failures_shun_and_a_byte_clears", failures_shun_and_a_byte_clears, 1, 1, 20 },
@@ -373,4 +398,5 @@
   { "the_store_is_never_rushed", the_store_is_never_rushed, 1, 1, 100 }, { "the_largest_goes_first", the_largest_goes_first, 1, 1, 20 },
   { "silent_engines_come_back", silent_engines_come_back, 1, 1, 20 }, { "what_waits_says_how_many_copies", what_waits_says_how_many_copies, 1, 1, 20 },
   { "failures_now_and_then_add_up_over_nodes", failures_now_and_then_add_up_over_nodes, 1, 1, 60 },
+  { "what_is_not_named_runs_no_more", what_is_not_named_runs_no_more, 1, 1, 20 },
   { NULL, NULL, 0, 0, 0 } };
