--- a/lib/gate/gate.h
+++ b/lib/gate/gate.h
@@ -43,6 +43,9 @@
   tick oldest_wait;         /* since when the oldest own request waits for a first byte; 0 when none */
   int fails;                /* in a row */
   bool suspect;             /* silent although work is there: only fresh channels, and no once-only work */
+  double ill;               /* failures of late, as seen by all nodes, fading away; and since when they are too many */
+  tick ill_at, ill_till;
+  int ill_times, ill_unsaid;
   double ms_per_token, base_ms;   /* learnt: time to the first event is about base + tokens * this + what waits */
   /* placement: only at its holder */
   node orders;              /* struct place_job */
@@ -164,6 +167,13 @@
 bool instance_runs(const instance *i, id model, id adapter);
 /** True when it gives no sign of life although work was sent there, so that what it holds had better be elsewhere too. */
 bool instance_lost(const instance *i);
+/** Notes failures that were seen by this node, or by another whose word weighs less; what fails now and then although it
+ * lives is ill for a while, longer each time, and gets work only where nothing else is. */
+void instance_failed(instance *i, double weight);
+void instance_failed_here(instance *i);
+bool instance_ill(const instance *i);
+/** True when it is not full and was not ordered about of late, so that a failure, or work declined, is its own doing. */
+bool instance_at_ease(const instance *i);
 /** How many instances of a service hold a model and adapter, and give signs of life. */
 int instance_copies(gate *g, id service, id model, id adapter);
 /** Looks at silence and failures again. */
@@ -171,6 +181,8 @@
 /** Prompt tokens that wait at it for their first event, of all nodes; and requests that run there. */
 double instance_waiting(const instance *i);
 int instance_running(const instance *i);
+/** Folds all that another node says it runs; its word on failures weighs more when it is near. */
+void instances_loads(gate *g, uint64_t nonce, bool near, const Wire__Loads *q);
 /** A digest of engines that came with news. */
 void instances_news(gate *g, const Wire__NewsBack *b);
 
@@ -218,6 +230,8 @@
 int want_model(gate *g, const service *s, id model, id adapter, unsigned priority, bool copy, double *est_ms, int64_t *wait);
 void loader_start(gate *g);
 void loader_free(gate *g);
+/** How many more copies of a model would clear what waits for it, as far as this node knows. */
+int copies_short(gate *g, id service, id model, id adapter);
 /** What a placement on an instance would cost: the worth (ms a second) of what had to go for it; -1 when it can't fit now.
  *  need_mb and need_slots say what is missing. */
 double place_cost(instance *i, const service *s, id model, id adapter, double *need_mb, unsigned *need_slots, double *drain_ms);
