--- a/lib/gate/loader.c
+++ b/lib/gate/loader.c
@@ -496,7 +496,11 @@
   unsigned slots = !base;
   char key[140];
   int r = make_room(i, s, model, adapter, mb, slots, x), running = 0;
-  if (r) { *wait = r == E_ROOM ? 1000 : 500; return r; }
+  if (r) {
+    *wait = r == E_ROOM ? 1000 : 500;
+    if (r == E_ORDER) { g->load_fails++; g->n.failed_loads++; }
+    return r;
+  }
   history_key(key, sizeof key, model, adapter);
   if (warm) g_strlcat(key, "@disk", sizeof key);
   tick last = t_never(), began = now_of(g);
