The in-memory world forgets an ask that ended in a process that stops

Cause: a channel's note of what is being served was only cleared by the answer's end. A task that unwound in a dying process freed the exchange and left the note; the reset that came after read it (use after free).

--- a/stand/kept.c
+++ b/stand/kept.c
@@ -201,6 +201,8 @@
   else h->w.serve(h->w.serve_ctx, q);
   if (!q->ended) ask_end(q, false);
   answered(x);
+  /* an ask that ended without an answer, as in a process that stops, is still noted here */
+  if (c->serving == x) c->serving = NULL;
   x->q = NULL;
   q->impl = NULL;
   ask_free(q);
