--- a/lib/vane/duty.c
+++ b/lib/vane/duty.c
@@ -1,7 +1,7 @@
 #include "vane.h"
 #include <stdio.h>
 
-enum { RENEW_MS = 600, ASK_MS = 300, GIVE_BACK_MS = 20000, FORGET_MS = 10000, STEADY_MS = 1500, STEADY_LOOSE_MS = 700, IDLE_MS = 2500 };
+enum { RENEW_MS = 600, ASK_MS = 300, GIVE_BACK_MS = 20000, FORGET_MS = 10000, STEADY_MS = 1500, STEADY_LOOSE_MS = 1500, IDLE_MS = 2500 };
 
 void duty_engine(char *buf, size_t n, id e) { snprintf(buf, n, "engine:%s", e.s); }
 
