--- a/lib/gate/loader.c
+++ b/lib/gate/loader.c
@@ -6,10 +6,13 @@
        UNLOAD_MS = 12000, RATES_MS = 1000, RECENT_RATE_MS = 5000, RECENT_MS = 60, FAIL_MS = 800, ONE_COORDINATOR = 32, BUSY_COST = 300, DRAIN_LEAST_MS = 1000, SURE_MS = 1800, CANDS = 96,
        AHEAD_MS = 250, COPIES_AT_ONCE = 4 };
 
+/* copies beyond the next one go only where next to nothing has to make way */
+static const double EXTRA_SHARE = 0.1;
+
 /* what this node asks for; lives while requests ask again */
 typedef struct want_job { char *key; id service, model, adapter; unsigned priority; bool copy, lost; tick asked, due, failed_till; int code; id tried; tick tried_till; } want_job;
 /* at a coordinator: one placement for the whole fleet */
-typedef struct placing { char *key; id service, model, adapter, engine; unsigned priority; bool copy, done, begun; tick asked, due; int code, held; int64_t wait; double cost; bell b; } placing;
+typedef struct placing { char *key; id service, model, adapter, engine; unsigned priority; bool copy, done, begun, extra; tick asked, due; int code, held; int64_t wait; double cost; bell b; } placing;
 /* at a holder: one job of an engine */
 typedef struct place_job { node n; id model, adapter; unsigned priority; bool copy, done, begun; tick since, asked, due; int code, held; int64_t wait; double cost_most; bell b; } place_job;
 
@@ -876,7 +879,7 @@
       if (cost < 0) { *code = E_ROOM; continue; }
       double evict = cost;
       bool there = instance_resident(i, p->model) != NULL, warm = g_hash_table_contains(i->held_before, p->model.s);
-      if (p->copy && cost > worth) { *code = E_ROOM; continue; }
+      if (p->copy && cost > (p->extra ? EXTRA_SHARE : 1) * worth) { *code = E_ROOM; continue; }
       double load_ms = (there ? 0 : time_of(g, s, p->model, none, warm)) + (id_none(p->adapter) ? 0 : time_of(g, s, p->model, p->adapter, warm));
       unsigned all = i->slots ? i->slots : s->engine_slots;
       double delay = load_ms + drain + queued_on(g, i->self, p) + (all ? 300.0 * instance_running(i) / all : 0) + (there || warm ? 0 : 300) + (cost > 0 ? 60 : 0);
@@ -993,7 +996,7 @@
     char *key = g_strdup_printf("%s#%d", p->key, k);
     placing *o = g_hash_table_lookup(g->placings, key);
     if (o && !o->done) { o->asked = now_of(g); g_free(key); continue; }
-    placing_start(g, key, p->service, p->model, p->adapter, p->priority, true);
+    placing_start(g, key, p->service, p->model, p->adapter, p->priority, true)->extra = true;
     g_free(key);
     more--;
   }
--- a/lib/gate/select.c
+++ b/lib/gate/select.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 
 static const double LATE_SHARE = 3;
-enum { CANDS = 512, PARTS = 32, SLOW_MS = 1000, COPY_MS = 1500, TRUST_MS = 1000, ILL_COST = 3000 };
+enum { CANDS = 512, PARTS = 32, SLOW_MS = 1000, COPY_MS = 1500, TRUST_MS = 1000, ILL_COST = 3000, MANY_NODES = 16 };
 
 double est_first(double base_ms, double ms_per_token, double ahead, double fresh, int running, unsigned slots, double run_ms) {
   double full = slots ? (double)running / slots : 0;
@@ -72,7 +72,7 @@
   tick now = w_now(g->v->s.w);
   slow_note *s = g_hash_table_lookup(g->slow, key);
   if (!s) { s = g_new0(slow_note, 1); g_hash_table_insert(g->slow, g_strdup(key), s); }
-  bool again = queue_ms > 0.4 * (double)q->target_ms || (s->at.us && !t_past(now, t_add(s->at, t_ms(SLOW_MS))));
+  bool again = (g->nodes > MANY_NODES && queue_ms > 0.4 * (double)q->target_ms) || (s->at.us && !t_past(now, t_add(s->at, t_ms(SLOW_MS))));
   s->at = now;
   if (!again || (s->asked.us && !t_past(now, t_add(s->asked, t_ms(COPY_MS))))) return;
   s->asked = now;
