Copies are counted once for a choice of engine, and ids compared by their first word

Loads go to 12 nodes at a time again, since each cast costs more than it tells. Not measured yet over the whole fleet.

--- a/lib/gate/gate.h
+++ b/lib/gate/gate.h
@@ -118,6 +118,7 @@
   int nodes;                /* vanes that are known, this one too; refreshed now and then */
   GHashTable *slow;         /* "service/model+adapter" -> when requests last met a slow estimate, and a copy was asked for */
   GHashTable *placings;     /* at a coordinator: "service/model+adapter" -> struct placing */
+  GHashTable *copies;       /* while an engine is chosen: run_key -> copies, counted once */
   GHashTable *paces;        /* service -> struct pace: when loads out of the store began */
   tick spare_load;          /* when this node last began a load without the pacer's ticket */
   GHashTable *rates_told;   /* key -> int64_t: totals that the others have */
@@ -162,6 +163,8 @@
 void instance_cast(instance *i);
 /** Ends an instance: its address is known to answer for another, or it is signed off. */
 void instance_over(instance *i, const char *why);
+/** How a model, or an adapter on its model, is named in short; never 0. */
+uint32_t run_key(id model, id adapter);
 /** True when some node runs something of a model (and adapter) there, as far as is known. */
 bool instance_runs(const instance *i, id model, id adapter);
 /** True when it gives no sign of life although work was sent there, so that what it holds had better be elsewhere too. */
--- a/lib/gate/instances.c
+++ b/lib/gate/instances.c
@@ -3,7 +3,7 @@
 #include <stdio.h>
 
 enum { ABSENT_MS = 2500, SETTLE_MS = 1500, GOING_MS = 3000, TOMB_MS = 60000, ENDS_MS = 1000, SHUN_MS = 150, SHUN_MOST_MS = 3000, TRIAL_MS = 400,
-       SILENT_MS = 400, LOST_FAILS = 3, LOST_MS = 800, LOADS_MS = 250, LOADS_ALL = 24, LOADS_SOME = 24,
+       SILENT_MS = 400, LOST_FAILS = 3, LOST_MS = 800, LOADS_MS = 250, LOADS_ALL = 16, LOADS_SOME = 12,
        ILL_FADE_MS = 2500, ILL_MS = 2000, ILL_MOST_MS = 16000, ILL_WELL_MS = 12000, ORDERED_MS = 3000, OWN_FAULT = 3 };
 static const double ILL_AT = 2.5, ILL_AGAIN = 1, ILL_AFAR = 0.6;
 
@@ -238,7 +238,7 @@
 }
 
 /* how a model, or an adapter on its model, is named among nodes that tell what they run; never 0 */
-static uint32_t run_key(id model, id adapter) { return (uint32_t)hash_two(model.s, adapter.s) | 1; }
+uint32_t run_key(id model, id adapter) { return (uint32_t)hash_two(model.s, adapter.s) | 1; }
 
 bool instance_runs(const instance *i, id model, id adapter) {
   for (guint k = 0; k < i->runs->len; k++) {
--- a/lib/gate/loader.c
+++ b/lib/gate/loader.c
@@ -54,6 +54,32 @@
   return false;
 }
 
+/* counts copies of all that a service's engines hold, for the time of one choice: one by one, each engine's each resident
+   would look through all engines again */
+static void copies_count(gate *g, id service) {
+  g->copies = g_hash_table_new(NULL, NULL);
+  list_each(i, &g->instances, instance, n) {
+    if (i->gone || i->leaving || !id_eq(i->service, service) || instance_lost(i)) continue;
+    list_each(r, &i->residents, resident, n) {
+      if (r->unloading) continue;
+      for (int k = -1; k < (int)r->adapters->len; k++) {
+        gpointer key = GUINT_TO_POINTER(run_key(r->model, k < 0 ? none : id_c(r->adapters->pdata[k])));
+        g_hash_table_insert(g->copies, key, GINT_TO_POINTER(GPOINTER_TO_INT(g_hash_table_lookup(g->copies, key)) + 1));
+      }
+    }
+  }
+}
+
+static void copies_forget(gate *g) {
+  if (g->copies) g_hash_table_destroy(g->copies);
+  g->copies = NULL;
+}
+
+static int copies_counted(gate *g, id service, id model, id adapter) {
+  if (!g->copies) return instance_copies(g, service, model, adapter);
+  return GPOINTER_TO_INT(g_hash_table_lookup(g->copies, GUINT_TO_POINTER(run_key(model, adapter))));
+}
+
 /* what is on an engine, as the rule sees it; gives the number of them */
 static int residents_as(instance *i, const service *s, id model, id adapter, cand *all, double *mb, unsigned *slots) {
   gate *g = i->g;
@@ -72,7 +98,7 @@
       *slots += k >= 0;
       c->megs = (uint64_t)ceil(size);
       c->slots = k >= 0;
-      int copies = MAX(1, instance_copies(g, i->service, c->model, c->adapter));
+      int copies = MAX(1, copies_counted(g, i->service, c->model, c->adapter));
       c->rate = rate_of(g, c->model, c->adapter) / copies;
       c->penalty = time_of(g, s, c->model, c->adapter, false);
       c->used = r->last_used;
@@ -827,6 +853,7 @@
   bool tried = false;
   for (guint k = 0; soon && k < not_these->len; k++) tried |= !strcmp(not_these->pdata[k], soon->self.s);
   if (soon && !tried) return soon;
+  copies_count(g, s->name);
   for (int round = 0; round < 2 && !best; round++)
     list_each(i, &g->instances, instance, n) {
       char addr[48];
@@ -849,6 +876,7 @@
       cost += delay * MAX(lambda, 0.6) + (double)w_draw(g->v->s.w, 10);
       if (!best || cost < least) { best = i; least = cost; p->cost = evict; }
     }
+  copies_forget(g);
   return best;
 }
 
--- a/lib/site/base.h
+++ b/lib/site/base.h
@@ -54,7 +54,12 @@
 /** True when a name may serve as an id. */
 bool id_fits(str s);
 /** True when two ids are the same. */
-static inline bool id_eq(id a, id b) { return !strcmp(a.s, b.s); }
+static inline bool id_eq(id a, id b) {
+  /* names are compared by the thousand: the first word settles nearly all, since an id is blank behind its end */
+  uint64_t x, y;
+  memcpy(&x, a.s, 8); memcpy(&y, b.s, 8);
+  return x == y && (!a.s[7] || !strcmp(a.s + 8, b.s + 8));
+}
 /** True when an id is empty. */
 static inline bool id_none(id a) { return !a.s[0]; }
 
