A scale run of our own: hollow gateways and core machines on real sockets

bench/scale starts three core machines as processes, N whole gateways that forward nothing as threads of a few processes, and M engines that only beat, all on loopback addresses, and prints processor time, wake-ups, messages, bytes and descriptors by role, and how long a change and a leaving engine take to be known everywhere. Threads of one process keep their spare tasks and read buffers apart (task.c, http.c).

--- a/Makefile
+++ b/Makefile
@@ -56,7 +56,11 @@
 	@mkdir -p $(B)/bin
 	@$(CC) $(CFLAGS) $^ $(LIBS) -o $@
 
-bench: $(addprefix $(B)/bin/,$(BENCH))
+$(B)/bin/scale: $(B)/bench/scale.o $(OURS)
+	@mkdir -p $(B)/bin
+	@$(CC) $(CFLAGS) $^ $(LIBS) -o $@
+
+bench: $(addprefix $(B)/bin/,$(BENCH) scale)
 stories: $(B)/bin/stories
 
 clean:
--- a/lib/site/http.c
+++ b/lib/site/http.c
@@ -871,7 +871,7 @@
 
 /* the library reads once a poll; what is there beyond its buffer is read here */
 static int conn_read(sock *k, const char *p, size_t n) {
-  static char more[SOCK_READ];
+  static _Thread_local char more[SOCK_READ];
   conn *c = (conn *)k;
   int r = conn_rx(c, p, n);
   for (int i = 0; !r && n >= SOCK_READ && i < READS_MOST && !conn_deaf(c); i++) {
--- a/lib/site/task.c
+++ b/lib/site/task.c
@@ -29,9 +29,9 @@
   bool done;
 };
 
-/* tasks that are over, with their stacks: the next ones run on them */
-static node spare = { &spare, &spare };
-static int spares;
+/* tasks that are over, with their stacks: the next ones of this thread run on them */
+static _Thread_local node spare;
+static _Thread_local int spares;
 
 #if defined(__x86_64__) && !ASAN_ON
 #include <ucontext.h>
@@ -132,7 +132,7 @@
   t->s->count--;
   if (spares < SPARE_MOST) {
     t->s = NULL;
-    spares++;
+    if (!spares++) list_init(&spare);
     list_push(&spare, &t->all);
     return;
   }
