Heartbeats keep their ring: a turn costs the places asked for, not a sort for each machine

Cause: the watch of heartbeats asked every 350 ms, for each known machine, who watches it, and each answer hashed and sorted all machines anew: n^2 log n a turn. Ruled out: messages (10 to 12 a second at all sizes) and bytes (0.8 kB/s). Change: the ring is kept sorted and made anew only once it is asked for after a machine came, went, moved or returned; watchers are found by halving. Story a_quiet_ring_is_made_once failed before (4,136 rings in ten quiet seconds), none now.

--- a/bench/scale.c
+++ b/bench/scale.c
@@ -1,6 +1,6 @@
 /* What the control of a fleet costs by its size: real sockets on loopback addresses, core machines as processes of their own,
  * hollow gateways (whole ones that forward no traffic) as threads of a few processes, and engines that only beat.
- * usage: scale [--nodes 10,30] [--engines 90] [--models 14] [--secs 10] [--out FILE.tsv] [--svg FILE.svg], or scale --records */
+ * usage: scale [--nodes 10,30] [--engines 90] [--models 14] [--secs 10] [--net 77] [--out FILE.tsv] [--svg FILE.svg], or scale --records */
 #define _GNU_SOURCE
 #include "gate.h"
 #include "mast.h"
@@ -45,7 +45,7 @@
 } hollow;
 
 static _Thread_local hollow *me;
-static int pipe_fd[2], nodes = 10, engines = 90, models = 14, secs = 10;
+static int pipe_fd[2], nodes = 10, engines = 90, models = 14, secs = 10, net = 77;
 static int64_t at[PHASES + 1];
 static char dir[64];
 static pthread_mutex_t born = PTHREAD_MUTEX_INITIALIZER;
@@ -157,7 +157,7 @@
   return r;
 }
 
-static void mast_ip(int i, char *to, size_t n) { snprintf(to, n, "127.77.0.%d", i + 1); }
+static void mast_ip(int i, char *to, size_t n) { snprintf(to, n, "127.%d.0.%d", net, i + 1); }
 
 static void settings(env *v, enum role role, const hollow *h, int zone) {
   memset(v, 0, sizeof *v);
@@ -231,7 +231,7 @@
     h[i].index = from + i;
     h[i].alone = alone;
     snprintf(h[i].name, sizeof h[i].name, "node-%d", from + i);
-    snprintf(h[i].ip, sizeof h[i].ip, "127.78.%d.%d", (from + i) / 200, 1 + (from + i) % 200);
+    snprintf(h[i].ip, sizeof h[i].ip, "127.%d.%d.%d", net + 1, (from + i) / 200, 1 + (from + i) % 200);
     pthread_t t;
     pthread_create(&t, NULL, vane_life, &h[i]);
   }
@@ -296,8 +296,8 @@
         mast_ip(i % MASTS, ip, sizeof ip);
         if (b->fd >= 0) { ssize_t n = recv(b->fd, got, sizeof got, MSG_DONTWAIT); if (n == 0 || (n < 0 && errno != EAGAIN)) { close(b->fd); b->fd = -1; failed++; } }
         if (b->fd < 0 && (b->fd = dial(ip, CONTROL)) < 0) continue;
-        int n = snprintf(body, sizeof body, "{\"service\":\"llm\",\"address\":\"127.79.%d.%d:9\",\"zone\":\"zone-%d\",\"version\":\"v1\",\"slots\":16,\"count\":%" PRIu64 ",\"state\":\"ready\",\"coldMs\":0,"
-                         "\"models\":[{\"name\":\"m%d\",\"adapters\":[]},{\"name\":\"m%d\",\"adapters\":[\"a1\",\"a2\"]}]}", i / 200, 1 + i % 200, 1 + i % 15, ++b->count, b->model, (b->model + 7) % models);
+        int n = snprintf(body, sizeof body, "{\"service\":\"llm\",\"address\":\"127.%d.%d.%d:9\",\"zone\":\"zone-%d\",\"version\":\"v1\",\"slots\":16,\"count\":%" PRIu64 ",\"state\":\"ready\",\"coldMs\":0,"
+                         "\"models\":[{\"name\":\"m%d\",\"adapters\":[]},{\"name\":\"m%d\",\"adapters\":[\"a1\",\"a2\"]}]}", net + 2, i / 200, 1 + i % 200, 1 + i % 15, ++b->count, b->model, (b->model + 7) % models);
         n = snprintf(text, sizeof text, "POST /v1/engines/e%d/beat HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", i, ip, n, body);
         if (send(b->fd, text, (size_t)n, MSG_NOSIGNAL) != n) { close(b->fd); b->fd = -1; failed++; }
       }
@@ -337,7 +337,7 @@
   return g_string_free(b, FALSE);
 }
 
-static char head_ip[24] = "127.77.0.1";
+static char head_ip[24];
 static int64_t put_config(uint64_t version) {
   char more[80], *text = config_text(version);
   snprintf(more, sizeof more, "Asterfall-Base-Version: %" PRIu64 "\r\n", version - 1);
@@ -599,11 +599,13 @@
     else if (!strcmp(argv[i], "--engines")) many = argv[i + 1];
     else if (!strcmp(argv[i], "--models")) models = MAX(1, atoi(argv[i + 1]));
     else if (!strcmp(argv[i], "--secs")) secs = MAX(3, atoi(argv[i + 1]));
+    else if (!strcmp(argv[i], "--net")) net = CLAMP(atoi(argv[i + 1]), 1, 250);
     else if (!strcmp(argv[i], "--out")) out = argv[i + 1];
     else if (!strcmp(argv[i], "--svg")) svg = argv[i + 1];
-    else { fprintf(stderr, "usage: scale [--nodes 10,30] [--engines 90] [--models 14] [--secs 10] [--out FILE.tsv] [--svg FILE.svg]\n"); return 2; }
+    else { fprintf(stderr, "usage: scale [--nodes 10,30] [--engines 90] [--models 14] [--secs 10] [--net 77] [--out FILE.tsv] [--svg FILE.svg]\n"); return 2; }
   }
   signal(SIGPIPE, SIG_IGN);
+  mast_ip(0, head_ip, sizeof head_ip);
   char **n = g_strsplit(sizes, ",", 32), **m = g_strsplit(many, ",", 32);
   result all[32 * 32];
   int count = 0;
--- a/lib/site/site.c
+++ b/lib/site/site.c
@@ -132,7 +132,7 @@
 }
 
 /* machines */
-enum { BEAT_MS = 350, DOUBT_MS = 1400, DOUBT_LIVES_MS = 1600, FORGET_MS = 600000, WATCHERS = 3 };
+enum { BEAT_MS = 350, DOUBT_MS = 1400, DOUBT_LIVES_MS = 1600, FORGET_MS = 600000 };
 
 machine *site_find(site *s, id who) {
   list_each(m, &s->machines, machine, n) if (id_eq(m->self, who)) return m;
@@ -182,6 +182,7 @@
   bool newer = young || n->inc > m->inc || (n->inc == m->inc && n->nonce == m->nonce);
   if (!newer && !(direct && n->inc == m->inc && m->gone)) return;
   bool other = !young && n->nonce != m->nonce;
+  s->ringStale |= young || m->gone || strcmp(m->addr, n->addr) || strcmp(m->area.s, n->area);
   bool was = m->leaving;
   if (young || other) {
     say(&s->log, "member", "Met %s (%s) at %s in %s, incarnation %" PRIu64 ".", n->id, n->role == ROLE_MAST ? "mast" : "vane", n->addr, n->area, n->inc);
@@ -207,36 +208,48 @@
   if (young || other || was != m->leaving) bell_ring(&s->moved);
 }
 
-typedef struct spot { uint64_t at; id self, area; char addr[48]; } spot;
 static int spot_cmp(const void *a, const void *b) {
   const spot *x = a, *y = b;
   return x->at < y->at ? -1 : x->at > y->at;
 }
 
-/* the watchers of a name: the next on the ring, from other areas first */
-static int watchers(site *s, id who, spot out[WATCHERS]) {
-  GArray *ring = g_array_new(FALSE, TRUE, sizeof(spot));
+static void ring_add(site *s, id self, id area, const char *addr) {
+  spot p = { hash_two("ring", self.s), self, area, "" };
+  g_strlcpy(p.addr, addr, sizeof p.addr);
+  bool seen = false;
+  for (guint i = 0; i < s->ring->len && !seen; i++) seen = id_eq(g_array_index(s->ring, spot, i).area, area);
+  s->ringAreas += !seen;
+  g_array_append_val(s->ring, p);
+}
+
+static void ring_make(site *s) {
+  if (!s->ringStale) return;
+  s->ringStale = false;
+  s->ringMade++;
+  s->ringAreas = 0;
+  g_array_set_size(s->ring, 0);
+  ring_add(s, s->v.self, s->v.area, s->v.addr);
+  list_each(m, &s->machines, machine, n) if (!m->gone) ring_add(s, m->self, m->area, m->addr);
+  g_array_sort(s->ring, spot_cmp);
+}
+
+int site_watchers(site *s, id who, spot out[WATCHERS]) {
+  ring_make(s);
   uint64_t at = hash_two("ring", who.s);
-  spot me = { hash_two("ring", s->v.self.s), s->v.self, s->v.area, "" };
-  g_strlcpy(me.addr, s->v.addr, sizeof me.addr);
-  if (!id_eq(who, s->v.self)) g_array_append_val(ring, me);
-  list_each(m, &s->machines, machine, n) {
-    if (m->gone || id_eq(m->self, who)) continue;
-    spot p = { hash_two("ring", m->self.s), m->self, m->area, "" };
-    g_strlcpy(p.addr, m->addr, sizeof p.addr);
-    g_array_append_val(ring, p);
+  guint n = s->ring->len, low = 0, high = n;
+  while (low < high) {
+    guint mid = (low + high) / 2;
+    if (g_array_index(s->ring, spot, mid).at < at) low = mid + 1;
+    else high = mid;
   }
-  for (guint i = 0; i < ring->len; i++) g_array_index(ring, spot, i).at -= at;
-  g_array_sort(ring, spot_cmp);
   int got = 0;
   for (int round = 0; round < 2; round++)
-    for (guint i = 0; i < ring->len && got < WATCHERS; i++) {
-      spot *p = &g_array_index(ring, spot, i);
-      bool skip = false;
-      for (int k = 0; k < got; k++) skip |= id_eq(out[k].self, p->self) || (!round && id_eq(out[k].area, p->area));
+    for (guint i = 0; i < n && got < (round ? WATCHERS : MIN(WATCHERS, s->ringAreas)); i++) {
+      spot *p = &g_array_index(s->ring, spot, (low + i) % n);
+      bool skip = id_eq(p->self, who);
+      for (int k = 0; k < got && !skip; k++) skip = id_eq(out[k].self, p->self) || (!round && id_eq(out[k].area, p->area));
       if (!skip) out[got++] = *p;
     }
-  g_array_free(ring, TRUE);
   return got;
 }
 
@@ -269,6 +282,7 @@
   if (n >= 2 && !m->gone && !t_past(t_add(m->heard, t_ms(DOUBT_MS / 2)), now)) {
     m->gone = true;
     m->lost = now;
+    s->ringStale = true;
     say(&s->log, "member", "%s is gone: %d watchers doubt it, last heard %" PRId64 " ms ago.", m->self.s, n, t_sub(now, m->heard).us / 1000);
     bell_ring(&s->moved);
   }
@@ -278,7 +292,7 @@
   site *s = p;
   while (w_nap_about(s->w, t_ms(BEAT_MS))) {
     spot w[WATCHERS];
-    int n = watchers(s, s->v.self, w);
+    int n = site_watchers(s, s->v.self, w);
     Wire__Beat b = WIRE__BEAT__INIT;
     b.turn = ++s->turn;
     Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_BEAT, &b);
@@ -298,7 +312,7 @@
       if (m->gone && t_past(now, t_add(m->lost, t_ms(FORGET_MS)))) { list_cut(&m->n); g_free(m); continue; }
       if (m->gone) continue;
       spot w[WATCHERS];
-      int k = watchers(s, m->self, w);
+      int k = site_watchers(s, m->self, w);
       bool mine = false;
       for (int i = 0; i < k; i++) mine |= id_eq(w[i].self, s->v.self);
       if (!mine) { m->watched = (tick){ 0 }; continue; }
@@ -445,6 +459,8 @@
   s->calls = w->draw(w) >> 16;
   s->open = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
   list_init(&s->machines);
+  s->ring = g_array_new(FALSE, TRUE, sizeof(spot));
+  s->ringStale = true;
   bell_init(&s->moved);
   w->on_post = on_post;
   w->post_ctx = s;
@@ -461,6 +477,7 @@
 
 void site_free(site *s) {
   list_each(m, &s->machines, machine, n) { list_cut(&m->n); g_free(m); }
+  g_array_free(s->ring, TRUE);
   g_hash_table_destroy(s->open);
 }
 
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -51,6 +51,11 @@
   struct { id by; tick at; } doubts[6];
 } machine;
 
+/** How many others watch a machine's heartbeats. */
+enum { WATCHERS = 3 };
+/** A machine's place on the ring of heartbeats. */
+typedef struct spot { uint64_t at; id self, area; char addr[48]; } spot;
+
 typedef struct site site;
 /** A reply in the making, and what it points to, which goes once it is sent. */
 typedef struct reply { Wire__Envelope m; GPtrArray *hold; } reply;
@@ -70,6 +75,11 @@
   struct { site_hand fn; void *ctx; } hands[64];
   int busy;
   bell moved;
+  /** The ring of the machines that are thought live, by place; it is made anew once it is asked for after a change. */
+  GArray *ring;
+  bool ringStale;
+  int ringAreas;
+  uint64_t ringMade;
 };
 
 /** Makes the common part of a process in a world. */
@@ -107,6 +117,8 @@
 bool machine_lives(const machine *m);
 /** A live machine of a role, drawn by chance, preferring the one at addr `last`; a gone one when none lives; or NULL. */
 machine *site_some(site *s, enum role r, const char *last);
+/** The watchers of a name: the next on the ring, from other areas first. Gives their number. */
+int site_watchers(site *s, id who, spot out[WATCHERS]);
 /** The machines of a role that are known here and have not said that they leave, gone ones too; this one counts if it has the role. */
 int site_known(site *s, enum role r);
 /** The machines' table as JSON. */
