--- a/bench/scale.c
+++ b/bench/scale.c
@@ -573,9 +573,9 @@
   Wire__Grant g = WIRE__GRANT__INIT;
   g.duty = "engine:engine-r2-4417"; g.holder = n.id; g.nonce = ~0ull; g.epoch = 40;
   Wire__Resident m = WIRE__RESIDENT__INIT, *mp[2] = { &m, &m };
-  m.model = "model-0231"; m.edition = 7; m.n_adapters = 2; m.adapters = adapters;
+  m.model = "model-0231"; m.version = 7; m.n_adapters = 2; m.adapters = adapters;
   Wire__Engine e = WIRE__ENGINE__INIT, brief = WIRE__ENGINE__INIT;
-  e.id = l.engine; e.service = "chat"; e.addr = "10.131.14.112:9000"; e.area = n.area; e.edition = "v40"; e.slots = 64; e.count = 100000; e.agems = 400; e.n_models = 2; e.models = mp; e.sum = ~0ull;
+  e.id = l.engine; e.service = "chat"; e.addr = "10.131.14.112:9000"; e.area = n.area; e.version = "v40"; e.slots = 64; e.count = 100000; e.agems = 400; e.n_models = 2; e.models = mp; e.sum = ~0ull;
   brief.id = e.id; brief.count = e.count; brief.sum = e.sum; brief.agems = 400;
   Wire__Ticket t = WIRE__TICKET__INIT;
   t.engine = e.id; t.key = "model-0231"; t.epoch = 40;
--- a/lib/gate/gate.h
+++ b/lib/gate/gate.h
@@ -11,7 +11,7 @@
 typedef struct resident {
   node n;
   id model;
-  uint64_t edition;
+  uint64_t version;
   GPtrArray *adapters;      /* char *, owned */
   tick up_at, last_used;    /* last_used: when this node last sent a request for it */
   bool unloading;           /* ordered away by this node; no new work, and its room still counts */
@@ -22,7 +22,7 @@
 typedef struct instance {
   node n;
   struct gate *g;
-  id self, service, area, edition;
+  id self, service, area, version;
   char addr[48];
   unsigned slots;
   uint64_t count;           /* of its latest beat */
@@ -43,12 +43,16 @@
   tick oldest_wait;         /* since when the oldest own request waits for a first byte; 0 when none */
   int fails;                /* in a row */
   bool suspect;             /* silent although work is there: only fresh channels, and no once-only work */
+  double ill;               /* failures of late, as seen by all nodes, fading away; and since when they are too many */
+  tick ill_at, ill_till;
+  int ill_times, ill_unsaid;
   double ms_per_token, base_ms;   /* learnt: time to the first event is about base + tokens * this + what waits */
   /* placement: only at its holder */
   node orders;              /* struct place_job */
   bell work;
   bool worker;
   tick ordered_at;          /* when another node was last heard to order it about */
+  tick mute_till;           /* at a coordinator: its holder got no answer from it */
   double owed_mb;
   unsigned owed_slots;
   uint64_t known_epoch;     /* the contract under which its residents were read from itself */
@@ -77,7 +81,7 @@
 
 /** What the gateway counts, for status, metrics and tests. */
 typedef struct gate_counts {
-  uint64_t requests, served, refused, failed, left, no_route, attempts, seconds, resumed, wants, loads, unloads, orders, reports, late_loads;
+  uint64_t requests, served, refused, failed, left, no_route, attempts, seconds, resumed, wants, loads, unloads, orders, reports, late_loads, failed_loads;
 } gate_counts;
 
 /** Settings of a gateway; an adapter fills them, or the command line. */
@@ -101,6 +105,7 @@
   GHashTable *instance_at;  /* id -> instance */
   bell moved;               /* instances, residency or places changed */
   door front, ready;
+  int load_fails;           /* loads that failed since the last one that came up */
   bool draining, told;      /* told: engines are known from a core machine at least once */
   tick drain_at;
   int open;                 /* requests under way */
@@ -162,6 +167,13 @@
 bool instance_runs(const instance *i, id model, id adapter);
 /** True when it gives no sign of life although work was sent there, so that what it holds had better be elsewhere too. */
 bool instance_lost(const instance *i);
+/** Notes failures that were seen by this node, or by another whose word weighs less; what fails now and then although it
+ * lives is ill for a while, longer each time, and gets work only where nothing else is. */
+void instance_failed(instance *i, double weight);
+void instance_failed_here(instance *i);
+bool instance_ill(const instance *i);
+/** True when it is not full and was not ordered about of late, so that a failure, or work declined, is its own doing. */
+bool instance_at_ease(const instance *i);
 /** How many instances of a service hold a model and adapter, and give signs of life. */
 int instance_copies(gate *g, id service, id model, id adapter);
 /** Looks at silence and failures again. */
@@ -169,6 +181,8 @@
 /** Prompt tokens that wait at it for their first event, of all nodes; and requests that run there. */
 double instance_waiting(const instance *i);
 int instance_running(const instance *i);
+/** Folds all that another node says it runs; its word on failures weighs more when it is near. */
+void instances_loads(gate *g, uint64_t nonce, bool near, const Wire__Loads *q);
 /** A digest of engines that came with news. */
 void instances_news(gate *g, const Wire__NewsBack *b);
 
@@ -216,9 +230,11 @@
 int want_model(gate *g, const service *s, id model, id adapter, unsigned priority, bool copy, double *est_ms, int64_t *wait);
 void loader_start(gate *g);
 void loader_free(gate *g);
+/** How many more copies of a model would clear what waits for it, as far as this node knows. */
+int copies_short(gate *g, id service, id model, id adapter);
 /** What a placement on an instance would cost: the worth (ms a second) of what had to go for it; -1 when it can't fit now.
  *  need_mb and need_slots say what is missing. */
-double place_cost(instance *i, const service *s, id model, id adapter, double *need_mb, unsigned *need_slots);
+double place_cost(instance *i, const service *s, id model, id adapter, double *need_mb, unsigned *need_slots, double *drain_ms);
 /** When one more load out of the store may begin, by the log of those that began: at most so many in a window. */
 tick pace_next(const GArray *log, tick now, tick window, int most);
 /** How many loads a window holds by our own reckoning: a little below what the store allows. */
@@ -227,6 +243,8 @@
 void pace_take_over(GArray *log, tick since, tick born, tick window, int most);
 
 /* status.c */
+/** Why a gateway is not ready; NULL when it is. */
+const char *gate_unready(const gate *g);
 void gate_status(gate *g, GString *to);
 void gate_metrics(gate *g, GString *to);
 #endif
--- a/lib/gate/loader.c
+++ b/lib/gate/loader.c
@@ -2,15 +2,16 @@
 #include <math.h>
 #include <stdio.h>
 
-enum { ALIVE_MS = 1600, ASK_MS = 800, CALL_MS = 1300, ORDER_MS = 1500, REPORT_MS = 800, LAG_MS = 450, YOUNG_MS = 3000, TICKET_MS = 400, LAST_MS = 150,
-       UNLOAD_MS = 12000, RATES_MS = 2000, RECENT_MS = 60, FAIL_MS = 800, ONE_COORDINATOR = 32, BUSY_COST = 300, SURE_MS = 1800, CANDS = 96 };
+enum { ALIVE_MS = 1600, LAPSE_MS = 1000, ASK_MS = 800, CALL_MS = 1300, ORDER_MS = 1500, REPORT_MS = 800, LAG_MS = 450, YOUNG_MS = 1000, TICKET_MS = 400, LAST_MS = 150,
+       UNLOAD_MS = 12000, RATES_MS = 1000, RECENT_RATE_MS = 5000, RECENT_MS = 60, FAIL_MS = 800, ONE_COORDINATOR = 32, BUSY_COST = 300, DRAIN_LEAST_MS = 1000, SURE_MS = 1800, CANDS = 96,
+       AHEAD_MS = 250, COPIES_AT_ONCE = 4 };
 
 /* what this node asks for; lives while requests ask again */
 typedef struct want_job { char *key; id service, model, adapter; unsigned priority; bool copy, lost; tick asked, due, failed_till; int code; id tried; tick tried_till; } want_job;
 /* at a coordinator: one placement for the whole fleet */
-typedef struct placing { char *key; id service, model, adapter, engine; unsigned priority; bool copy, done; tick asked, due; int code, held; int64_t wait; bell b; } placing;
+typedef struct placing { char *key; id service, model, adapter, engine; unsigned priority; bool copy, done, begun; tick asked, due; int code, held; int64_t wait; double cost; bell b; } placing;
 /* at a holder: one job of an engine */
-typedef struct place_job { node n; id model, adapter; unsigned priority; bool copy, done; tick since, asked, due; int code, held; int64_t wait; bell b; } place_job;
+typedef struct place_job { node n; id model, adapter; unsigned priority; bool copy, done, begun; tick since, asked, due; int code, held; int64_t wait; double cost_most; bell b; } place_job;
 
 static tick now_of(gate *g) { return w_now(g->v->s.w); }
 static tick ms_from(gate *g, double ms) { return t_add(now_of(g), (tick){ (int64_t)(ms * 1000) }); }
@@ -43,7 +44,8 @@
 static double rate_of(gate *g, id model, id adapter) {
   char key[140];
   history_key(key, sizeof key, model, adapter);
-  return history_rate(&g->v->h, key);
+  /* demand moves within seconds: half of the weight lies on the latest of them */
+  return 0.5 * history_rate(&g->v->h, key) + 0.5 * history_recent(&g->v->h, key, t_ms(RECENT_RATE_MS));
 }
 
 static bool wanted_here(instance *i, id model, id adapter) {
@@ -73,7 +75,10 @@
       int copies = MAX(1, instance_copies(g, i->service, c->model, c->adapter));
       c->rate = rate_of(g, c->model, c->adapter) / copies;
       c->penalty = time_of(g, s, c->model, c->adapter, false);
-      c->used = r->last_used;
+      char key[140];
+      history_key(key, sizeof key, c->model, c->adapter);
+      tick used = history_used(&g->v->h, key);
+      c->used = k < 0 && r->last_used.us > used.us ? r->last_used : used;
       c->busy = instance_runs(i, c->model, c->adapter);
       bool young = k < 0 && r->up_at.us && !t_past(now, t_add(r->up_at, t_ms(YOUNG_MS))) && r->last_used.us < r->up_at.us;
       c->barred = r->unloading || young || wanted_here(i, c->model, c->adapter) || (k < 0 && !id_none(adapter) && id_eq(r->model, model));
@@ -84,6 +89,12 @@
 
 static uint64_t chance(void *w) { return ((world *)w)->draw(w); }
 
+/* the policy resource says by what the least worth is told; the paper's rule stands until there is one */
+static policy policy_of(gate *g) {
+  const config *c = g->v->now;
+  return c ? (policy){ c->eviction, config_formula(c, c->eviction), now_of(g) } : (policy){ "cremebrulee", NULL, now_of(g) };
+}
+
 static lack lack_of(const service *s, double mb, unsigned slots, double add_mb, unsigned add_slots) {
   double over = mb + add_mb - s->weights_mb;
   lack l = { over > 0 ? (uint64_t)ceil(over) : 0, slots + add_slots > s->adapter_slots ? slots + add_slots - s->adapter_slots : 0 };
@@ -98,7 +109,7 @@
   if (!id_none(adapter) && !instance_holds(i, model, adapter)) { *mb += size_of(s, model, adapter); *slots += 1; }
 }
 
-double place_cost(instance *i, const service *s, id model, id adapter, double *need_mb, unsigned *need_slots) {
+double place_cost(instance *i, const service *s, id model, id adapter, double *need_mb, unsigned *need_slots, double *drain_ms) {
   cand all[CANDS];
   double mb, add;
   unsigned slots, more;
@@ -106,15 +117,20 @@
   needs(i, s, model, adapter, &add, &more);
   *need_mb = add;
   *need_slots = more;
+  *drain_ms = 0;
   if (add > s->weights_mb || more > s->adapter_slots) return -1;
   lack l = lack_of(s, mb, slots, add, more);
   if (!l.megs && !l.slots) return 0;
-  policy rule = { "cremebrulee", NULL, now_of(i->g) };
+  policy rule = policy_of(i->g);
   int got = policy_fill(&rule, all, n, l, chance, i->g->v->s.w);
   if (got < 0) return -1;
   double cost = 0;
-  /* what runs has to end first, and holds the engine's other orders up */
-  for (int k = 0; k < got; k++) cost += all[k].penalty * all[k].rate + (all[k].busy ? BUSY_COST : 0);
+  /* what runs has to end first; meanwhile it takes no new work, and holds the engine's other orders up */
+  for (int k = 0; k < got; k++) {
+    double drain = all[k].busy ? MAX(DRAIN_LEAST_MS, 2 * i->usual_run) : 0;
+    *drain_ms = MAX(*drain_ms, drain);
+    cost += (all[k].penalty + drain) * all[k].rate + (drain > 0 ? BUSY_COST : 0);
+  }
   return cost;
 }
 
@@ -258,6 +274,16 @@
   return c ? c->till : (tick){ 0 };
 }
 
+/* notes when an order may last have gone out under a contract, and whether one still may */
+static void contract_open(instance *i, int more) {
+  char d[64];
+  duty_engine(d, sizeof d, i->self);
+  contract *c = g_hash_table_lookup(i->g->v->contracts, d);
+  if (!c) return;
+  c->open += more;
+  c->ordered = now_of(i->g);
+}
+
 static fields *fields_for(instance *i) {
   fields *f = g_string_new(NULL);
   fields_add(f, "Host", str_of(i->addr));
@@ -313,7 +339,7 @@
     const json *o = json_at(m, k), *a = json_get(o, "adapters");
     wire__resident__init(&r[k]);
     r[k].model = (char *)json_text(o, "name", "");
-    r[k].edition = (uint64_t)MAX(0, json_num(o, "version", 0));
+    r[k].version = (uint64_t)MAX(0, json_num(o, "version", 0));
     r[k].n_adapters = a ? json_count(a) : 0;
     r[k].adapters = g_new(char *, r[k].n_adapters + 1);
     for (size_t t = 0; t < r[k].n_adapters; t++) {
@@ -363,7 +389,9 @@
   json_free(j);
   g->n.orders++;
   history_add(&g->v->h, (entry){ EV_ORDERED, { 0 }, i->self, model, adapter, up });
+  contract_open(i, 1);
   int st = exchange(i, DC_ORDER, t->str, got, ORDER_MS, till.us < by.us ? till : by, x);
+  contract_open(i, -1);
   if (st > 0 && st != 200 && st != 202) err_set(x, E_ORDER, "%s answered %d to %s %s%s%s: %.80s", i->self.s, st, up ? "load" : "unload", model.s, adapter.s[0] ? "+" : "", adapter.s, got->str);
   g_string_free(t, TRUE);
   g_string_free(got, TRUE);
@@ -437,10 +465,14 @@
     int n = residents_as(i, s, model, adapter, all, &held_mb, &held_slots);
     lack l = lack_of(s, held_mb, held_slots, mb, slots);
     if (!l.megs && !l.slots) return OK;
-    policy rule = { "cremebrulee", NULL, now_of(i->g) };
+    policy rule = policy_of(i->g);
     int got = policy_fill(&rule, all, n, l, chance, i->g->v->s.w);
     if (got <= 0) return err_set(x, E_ROOM, "nothing on %s may be unloaded for %s now", i->self.s, model.s);
-    int r = unload(i, all[0].model, all[0].adapter, x);
+    whisper(&i->g->v->s.log, "place", "%s goes from %s for %s+%s: rate %.2f a copy, worth %.0f, one of %d.", all[0].model.s, i->self.s, model.s, adapter.s, all[0].rate, all[0].penalty * all[0].rate, got);
+    /* a base takes its adapters with it */
+    id adapter_goes = all[0].adapter;
+    for (int k = 0; k < got; k++) if (id_eq(all[k].model, all[0].model) && id_none(all[k].adapter)) adapter_goes = none;
+    int r = unload(i, all[0].model, adapter_goes, x);
     if (r) return r;
   }
   return err_set(x, E_ROOM, "%s found no room in time", i->self.s);
@@ -507,7 +539,11 @@
     if (st == 0 && tries >= 3) { r = err_set(x, E_ENGINE, "%s can't be reached", i->self.s); *wait = 500; break; }
     if ((r = nap(i, st == 409 ? 60 : 100, x))) break;
   }
-  if (r) { if (owed) { i->owed_mb = MAX(0, i->owed_mb - mb); i->owed_slots -= MIN(i->owed_slots, slots); } return r; }
+  if (r) {
+    if (owed) { i->owed_mb = MAX(0, i->owed_mb - mb); i->owed_slots -= MIN(i->owed_slots, slots); }
+    if (r == E_ORDER) { g->load_fails++; g->n.failed_loads++; }
+    return r;
+  }
   if (base && st != 200) {
     g->n.loads++;
     g->v->loads++;
@@ -555,8 +591,10 @@
     history_add(&g->v->h, (entry){ EV_FAILED, { 0 }, i->self, model, adapter, 0 });
     /* what it may still hold of this keeps its room until its own report was read again */
     if (owed) i->known_epoch = 0;
+    if (r == E_ORDER) { g->load_fails++; g->n.failed_loads++; }
     return r;
   }
+  g->load_fails = 0;
   if (owed) { i->owed_mb = MAX(0, i->owed_mb - mb); i->owed_slots -= MIN(i->owed_slots, slots); }
   double ms = since_ms(g, began);
   if (sure && !known && !i->gone) {
@@ -574,6 +612,7 @@
   }
   instance_loaded(i, model, adapter);
   instance_cast(i);
+  whisper(&g->v->s.log, "place", "%s%s is on %s after %.0f ms, guessed %.0f, %s.", key, warm ? " (disk)" : "", i->self.s, since_ms(g, began), guess, job->copy ? "a copy" : "missed");
   return OK;
 }
 
@@ -615,6 +654,10 @@
   if (instance_holds(i, job->model, job->adapter)) return OK;
   if (i->leaving) return err_set(x, E_ENGINE, "%s is leaving", i->self.s);
   if (!job->copy && instance_copies(g, i->service, job->model, job->adapter)) return OK;
+  /* what was cheap when this engine was chosen may have gone meanwhile: the coordinator then chooses anew */
+  double mb, drain;
+  unsigned slots;
+  if (job->cost_most > 0 && place_cost(i, s, job->model, job->adapter, &mb, &slots, &drain) > job->cost_most) { *wait = 20; return err_set(x, E_ROOM, "room on %s has become dear", i->self.s); }
   if (!instance_resident(i, job->model)) {
     r = load_one(i, job, s, job->model, none, wait, x);
     if (r || id_none(job->adapter)) return r;
@@ -631,7 +674,14 @@
   g_free(j);
 }
 
-/* one task for each engine that has jobs; the more urgent and older come first */
+/* what is gained by a load: those who wait, and those who will come until the next load could be done, by urgency */
+static double load_worth(gate *g, unsigned priority, id model, id adapter) {
+  return (priority == 0 ? 1.5 : priority == 1 ? 1 : 0.5) * (1 + 3 * rate_of(g, model, adapter));
+}
+
+static double job_worth(gate *g, const place_job *j) { return load_worth(g, j->priority, j->model, j->adapter) + since_ms(g, j->since) / 1500; }
+
+/* one task for each engine that has jobs; the more useful and older come first */
 static void work_run(void *p) {
   instance *i = p;
   gate *g = i->g;
@@ -642,8 +692,8 @@
     tick now = now_of(g);
     list_each(j, &i->orders, place_job, n) {
       if (j->done) continue;
-      if (t_past(now, t_add(j->asked, t_ms(ALIVE_MS)))) { j->held++; job_done(j, E_WAIT, 0); job_drop(j); continue; }
-      double worth = (10 - MIN(j->priority, 10)) * 500.0 + since_ms(g, j->since);
+      if (t_past(now, t_add(j->asked, t_ms(LAPSE_MS)))) { j->held++; job_done(j, E_WAIT, 0); job_drop(j); continue; }
+      double worth = job_worth(g, j);
       if (!best || worth > top) { best = j; top = worth; }
     }
     if (!best) {
@@ -652,6 +702,7 @@
       continue;
     }
     best->held++;
+    best->begun = true;
     err x = { 0 };
     int64_t wait = 0;
     int r = place(i, best, &wait, &x);
@@ -684,6 +735,7 @@
     const service *s = service_of(g, i->service);
     j = g_new0(place_job, 1);
     j->model = m; j->adapter = a; j->priority = q->priority; j->copy = q->copy;
+    j->cost_most = (double)q->costmost;
     j->since = now_of(g);
     double each = s ? time_of(g, s, m, a, instance_resident(i, m) || g_hash_table_contains(i->held_before, m.s)) : 1000;
     if (s && !id_none(a) && !instance_resident(i, m)) each += time_of(g, s, m, none, g_hash_table_contains(i->held_before, m.s));
@@ -694,6 +746,7 @@
   j->asked = now_of(g);
   j->priority = MIN(j->priority, q->priority);
   j->copy &= q->copy;
+  j->cost_most = (double)q->costmost;
   j->held++;
   instance_ref(i);
   if (!i->worker) {
@@ -707,7 +760,20 @@
   Wire__PlaceBack *b = reply_new(o, WIRE__ENVELOPE__BODY_PLACEBACK, &wire__place_back__descriptor);
   b->up = j->done && !j->code;
   b->code = (uint32_t)(j->done ? j->code : E_WAIT);
-  b->wait = (uint64_t)(j->done ? j->wait : ms_till(g, j->due));
+  tick due = j->due;
+  if (!j->done && !j->begun) {
+    /* behind the one in hand, and those that come first */
+    double ms = 30;
+    list_each(k, &i->orders, place_job, n) {
+      const service *s = service_of(g, i->service);
+      if (k->done || !s) continue;
+      if (k->begun) ms += (double)ms_till(g, k->due);
+      else if (k == j || job_worth(g, k) > job_worth(g, j)) ms += (instance_resident(i, k->model) ? 0 : time_of(g, s, k->model, none, g_hash_table_contains(i->held_before, k->model.s))) + (id_none(k->adapter) ? 0 : time_of(g, s, k->model, k->adapter, false));
+    }
+    due = ms_from(g, ms);
+  }
+  b->wait = (uint64_t)(j->done ? j->wait : ms_till(g, due));
+  b->begun = j->begun;
   job_drop(j);
   instance_unref(i);
   return OK;
@@ -727,14 +793,21 @@
   return true;
 }
 
-/* how many placements of this coordinator an engine has before it */
-static int queued_on(gate *g, id engine) {
-  int n = 0;
+/* how long the placements of this coordinator keep an engine busy before one may begin, in ms */
+static double queued_on(gate *g, id engine, const placing *by) {
+  double ms = 0, worth = load_worth(g, by->priority, by->model, by->adapter);
   GHashTableIter it;
   gpointer p;
   g_hash_table_iter_init(&it, g->placings);
-  while (g_hash_table_iter_next(&it, NULL, &p)) n += !((placing *)p)->done && id_eq(((placing *)p)->engine, engine);
-  return n;
+  while (g_hash_table_iter_next(&it, NULL, &p)) {
+    placing *k = p;
+    if (k == by || k->done || !id_eq(k->engine, engine) || (!k->begun && load_worth(g, k->priority, k->model, k->adapter) < worth)) continue;
+    const service *s = service_of(g, k->service);
+    instance *i = instance_find(g, engine.s);
+    if (!s || !i) continue;
+    ms += 40 + (instance_resident(i, k->model) ? 0 : time_of(g, s, k->model, none, g_hash_table_contains(i->held_before, k->model.s)));
+  }
+  return ms;
 }
 
 /* an engine that is about to get the same model for another want of it; NULL when there is none */
@@ -751,6 +824,32 @@
   return NULL;
 }
 
+/* how many more copies of a thing would clear what waits for their first event at those that hold it, within AHEAD_MS each */
+int copies_short(gate *g, id service, id model, id adapter) {
+  double ms = 0;
+  int have = 0;
+  list_each(i, &g->instances, instance, n) {
+    if (i->gone || i->leaving || !id_eq(i->service, service) || !instance_holds(i, model, adapter)) continue;
+    have++;
+    ms += i->ms_per_token * instance_waiting(i);
+  }
+  return have ? CLAMP((int)(ms / AHEAD_MS) - have, 0, COPIES_AT_ONCE) : 0;
+}
+
+/* copies of a thing that are being placed */
+static int copies_coming(gate *g, const placing *p, const instance *at) {
+  int n = 0;
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init(&it, g->placings);
+  while (g_hash_table_iter_next(&it, NULL, &v)) {
+    placing *o = v;
+    if (o == p || o->done || !id_eq(o->model, p->model) || !id_eq(o->adapter, p->adapter) || !id_eq(o->service, p->service)) continue;
+    n += !at || id_eq(o->engine, at->self);
+  }
+  return n;
+}
+
 /* the engine where a thing costs least: what had to go, how long it waits and loads, how busy the engine is */
 static instance *choose(gate *g, placing *p, const service *s, const GPtrArray *not_these, int *code) {
   instance *best = NULL;
@@ -765,23 +864,24 @@
   for (int round = 0; round < 2 && !best; round++)
     list_each(i, &g->instances, instance, n) {
       char addr[48];
-      if (!id_eq(i->service, s->name) || i->gone || i->leaving || !i->models_known || (i->suspect && !round) || (!instance_usable(i) && !round)) continue;
+      if (!id_eq(i->service, s->name) || i->gone || i->leaving || !i->models_known || (!round && (i->mute_till.us > now_of(g).us || i->suspect || instance_ill(i) || !instance_usable(i)))) continue;
       if (i->ends_at.us && !t_past(i->ends_at, ms_from(g, 30000))) continue;
-      if (p->copy && instance_holds(i, p->model, p->adapter)) continue;
+      if (p->copy && (instance_holds(i, p->model, p->adapter) || copies_coming(g, p, i))) continue;
       bool barred = false;
       for (guint k = 0; k < not_these->len; k++) barred |= !strcmp(not_these->pdata[k], i->self.s);
       if (barred || !holder_addr(g, i->self, addr)) continue;
-      double mb;
+      double mb, drain;
       unsigned slots;
-      double cost = place_cost(i, s, p->model, p->adapter, &mb, &slots);
+      double cost = place_cost(i, s, p->model, p->adapter, &mb, &slots, &drain);
       if (cost < 0) { *code = E_ROOM; continue; }
+      double evict = cost;
       bool there = instance_resident(i, p->model) != NULL, warm = g_hash_table_contains(i->held_before, p->model.s);
       if (p->copy && cost > worth) { *code = E_ROOM; continue; }
       double load_ms = (there ? 0 : time_of(g, s, p->model, none, warm)) + (id_none(p->adapter) ? 0 : time_of(g, s, p->model, p->adapter, warm));
       unsigned all = i->slots ? i->slots : s->engine_slots;
-      double delay = load_ms + queued_on(g, i->self) * 1500.0 + (all ? 300.0 * instance_running(i) / all : 0) + (there || warm ? 0 : 300) + (cost > 0 ? 60 : 0);
-      cost += delay * MAX(lambda, 0.3) + (double)w_draw(g->v->s.w, 10);
-      if (!best || cost < least) { best = i; least = cost; }
+      double delay = load_ms + drain + queued_on(g, i->self, p) + (all ? 300.0 * instance_running(i) / all : 0) + (there || warm ? 0 : 300) + (cost > 0 ? 60 : 0);
+      cost += delay * MAX(lambda, 0.6) + (double)w_draw(g->v->s.w, 10);
+      if (!best || cost < least) { best = i; least = cost; p->cost = evict; }
     }
   return best;
 }
@@ -811,6 +911,7 @@
     char addr[48];
     if (!i || i->gone || !holder_addr(g, i->self, addr)) i = choose(g, p, s, not_these, &code);
     if (!i || !holder_addr(g, i->self, addr)) {
+      whisper(&g->v->s.log, "placing", "%s+%s has no engine: code %d, %u passed over.", p->model.s, p->adapter.s, code, not_these->len);
       p->engine = none;
       /* contracts change hands within some seconds; a fleet without room says so soon */
       if (p->copy || ++blanks > (code == E_ROOM ? 4 : 12)) { wait = p->copy ? 3000 : 500; break; }
@@ -820,16 +921,20 @@
     }
     if (!id_eq(p->engine, i->self)) {
       p->engine = i->self;
-      bool there = instance_resident(i, p->model) != NULL, warm = g_hash_table_contains(i->held_before, p->model.s);
-      p->due = ms_from(g, 30 + (there ? 0 : time_of(g, s, p->model, none, warm)) + (id_none(p->adapter) ? 0 : time_of(g, s, p->model, p->adapter, warm)) + (queued_on(g, i->self) - 1) * 1500.0);
+      bool warm = g_hash_table_contains(i->held_before, p->model.s);
+      p->due = ms_from(g, 30 + queued_on(g, i->self, p) + (instance_resident(i, p->model) ? 0 : time_of(g, s, p->model, none, warm)) + (id_none(p->adapter) ? 0 : time_of(g, s, p->model, p->adapter, warm)));
     }
     id engine = i->self;
     Wire__Place q = WIRE__PLACE__INIT;
     q.engine = engine.s; q.service = p->service.s; q.model = p->model.s; q.adapter = p->adapter.s; q.priority = p->priority; q.wait = ASK_MS; q.copy = p->copy;
+    /* what is asked for much may push out what is asked for less, however dear the room has become meanwhile */
+    int shares = p->copy ? instance_copies(g, s->name, p->model, p->adapter) + 1 : 1;
+    q.costmost = (uint64_t)MAX(2 * p->cost + 1000, time_of(g, s, p->model, p->adapter, false) * rate_of(g, p->model, p->adapter) / shares);
     Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_PLACE, &q), *b;
     err x = { 0 };
     int r = site_call(&g->v->s, addr, &m, t_ms(CALL_MS), &b, &x);
     if (r == E_DEAD) { code = r; break; }
+    bool begun = !r && b->body_case == WIRE__ENVELOPE__BODY_PLACEBACK && b->placeback->begun;
     if (!r && b->body_case == WIRE__ENVELOPE__BODY_PLACEBACK) { r = (int)b->placeback->code; wait = (int64_t)b->placeback->wait; }
     else if (!r) r = E_WIRE;
     site_done(b);
@@ -840,11 +945,20 @@
       if (i && !p->copy && !instance_copies(g, p->service, p->model, p->adapter) && !w_nap(g->v->s.w, t_ms(RECENT_MS))) code = E_DEAD;
       break;
     }
-    if (r == E_WAIT) { p->due = ms_from(g, (double)wait); continue; }
+    whisper(&g->v->s.log, "placing", "%s+%s at %s: code %d, begun %d, wait %" PRId64 ", cost %.0f.", p->model.s, p->adapter.s, engine.s, r, begun, wait, p->cost);
+    if (r == E_WAIT) {
+      p->due = ms_from(g, (double)wait);
+      /* one that still stands in line may be better off elsewhere by now; the old place lapses unasked */
+      p->begun = begun;
+      if (!begun) p->engine = none;
+      continue;
+    }
     code = r;
     p->engine = none;
     if (r == E_PACE) { p->due = ms_from(g, (double)wait + 1000); if (!w_nap(g->v->s.w, t_ms(CLAMP(wait, 50, 500)))) break; continue; }
     g_ptr_array_add(not_these, g_strdup(engine.s));
+    /* an engine that does not answer its holder is passed over by the other placements too */
+    if (r == E_ENGINE && (i = instance_find(g, engine.s))) i->mute_till = ms_from(g, 2000);
     if (r == E_MODEL || ++blanks > 6) break;
     if (!w_nap_about(g->v->s.w, t_ms(r == E_TIME ? 20 : 60))) break;
   }
@@ -856,6 +970,35 @@
   placing_drop(g, p);
 }
 
+static placing *placing_start(gate *g, char *key, id service, id model, id adapter, unsigned priority, bool copy) {
+  placing *p = g_new0(placing, 1);
+  p->key = g_strdup(key);
+  p->service = service; p->model = model; p->adapter = adapter; p->priority = priority; p->copy = copy;
+  p->asked = now_of(g);
+  bell_init(&p->b);
+  p->held = 1;
+  /* one that is done and still read by somebody leaves the table and is freed by the last reader */
+  if (g_hash_table_lookup(g->placings, key)) g_hash_table_steal(g->placings, key);
+  g_hash_table_insert(g->placings, p->key, p);
+  struct { gate *g; placing *p; } *t = g_malloc(sizeof *t);
+  t->g = g; t->p = p;
+  task_start(&g->v->s.w->tasks, "placing", placing_run, t);
+  return p;
+}
+
+/* a thing that became wanted of a sudden needs several copies, and one after the other would come too late */
+static void copies_more(gate *g, const placing *p) {
+  int more = copies_short(g, p->service, p->model, p->adapter) - 1 - copies_coming(g, p, NULL);
+  for (int k = 2; k <= COPIES_AT_ONCE && more > 0; k++) {
+    char *key = g_strdup_printf("%s#%d", p->key, k);
+    placing *o = g_hash_table_lookup(g->placings, key);
+    if (o && !o->done) { o->asked = now_of(g); g_free(key); continue; }
+    placing_start(g, key, p->service, p->model, p->adapter, p->priority, true);
+    g_free(key);
+    more--;
+  }
+}
+
 static int on_want(void *ctx, Wire__Envelope *in, reply *o, err *x) {
   gate *g = ctx;
   Wire__Want *q = in->want;
@@ -864,21 +1007,8 @@
   char *key = key_of(s, m, a);
   placing *p = g_hash_table_lookup(g->placings, key);
   if (p && p->done) { p = NULL; }
-  if (!p) {
-    p = g_new0(placing, 1);
-    p->key = g_strdup(key);
-    p->service = s; p->model = m; p->adapter = a; p->priority = q->priority; p->copy = q->copy;
-    p->asked = now_of(g);
-    bell_init(&p->b);
-    p->held = 1;
-    placing *was = g_hash_table_lookup(g->placings, key);
-    /* one that is done and still read by somebody leaves the table and is freed by the last reader */
-    if (was) g_hash_table_steal(g->placings, key);
-    g_hash_table_insert(g->placings, p->key, p);
-    struct { gate *g; placing *p; } *t = g_malloc(sizeof *t);
-    t->g = g; t->p = p;
-    task_start(&g->v->s.w->tasks, "placing", placing_run, t);
-  }
+  if (!p) p = placing_start(g, key, s, m, a, q->priority, q->copy);
+  if (q->copy) copies_more(g, p);
   g_free(key);
   p->asked = now_of(g);
   p->priority = MIN(p->priority, q->priority);
@@ -1012,9 +1142,15 @@
 static void rates_run(void *p) {
   gate *g = p;
   vane *v = g->v;
+  uint64_t met = 0;
   for (;;) {
-    history_window_fix(&v->h, (tick){ (int64_t)((g->x.rate_window_s > 0 ? g->x.rate_window_s : 60) * 1e6) });
+    history_window_fix(&v->h, (tick){ (int64_t)((g->x.rate_window_s > 0 ? g->x.rate_window_s : 20) * 1e6) });
     if (!w_nap_about(v->s.w, t_ms(RATES_MS))) return;
+    /* a node that is new here, or has started anew, hears all from the start */
+    uint64_t now_met = v->s.nonce;
+    list_each(x, &v->s.machines, machine, n) if (x->role == ROLE_VANE && !x->gone) now_met += x->nonce;
+    if (now_met != met) g_hash_table_remove_all(g->rates_told);
+    met = now_met;
     GPtrArray *all = g_ptr_array_new_with_free_func(g_free);
     GHashTableIter it;
     gpointer k, t;
--- a/lib/site/site.c
+++ b/lib/site/site.c
@@ -209,15 +209,15 @@
 }
 
 static int spot_cmp(const void *a, const void *b) {
-  const spot *x = a, *y = b;
+  const ring_place *x = a, *y = b;
   return x->at < y->at ? -1 : x->at > y->at;
 }
 
 static void ring_add(site *s, id self, id area, const char *addr) {
-  spot p = { hash_two("ring", self.s), self, area, "" };
+  ring_place p = { hash_two("ring", self.s), self, area, "" };
   g_strlcpy(p.addr, addr, sizeof p.addr);
   bool seen = false;
-  for (guint i = 0; i < s->ring->len && !seen; i++) seen = id_eq(g_array_index(s->ring, spot, i).area, area);
+  for (guint i = 0; i < s->ring->len && !seen; i++) seen = id_eq(g_array_index(s->ring, ring_place, i).area, area);
   s->ringAreas += !seen;
   g_array_append_val(s->ring, p);
 }
@@ -233,19 +233,19 @@
   g_array_sort(s->ring, spot_cmp);
 }
 
-int site_watchers(site *s, id who, spot out[WATCHERS]) {
+int site_watchers(site *s, id who, ring_place out[WATCHERS]) {
   ring_make(s);
   uint64_t at = hash_two("ring", who.s);
   guint n = s->ring->len, low = 0, high = n;
   while (low < high) {
     guint mid = (low + high) / 2;
-    if (g_array_index(s->ring, spot, mid).at < at) low = mid + 1;
+    if (g_array_index(s->ring, ring_place, mid).at < at) low = mid + 1;
     else high = mid;
   }
   int got = 0;
   for (int round = 0; round < 2; round++)
     for (guint i = 0; i < n && got < (round ? WATCHERS : MIN(WATCHERS, s->ringAreas)); i++) {
-      spot *p = &g_array_index(s->ring, spot, (low + i) % n);
+      ring_place *p = &g_array_index(s->ring, ring_place, (low + i) % n);
       bool skip = id_eq(p->self, who);
       for (int k = 0; k < got && !skip; k++) skip = id_eq(out[k].self, p->self) || (!round && id_eq(out[k].area, p->area));
       if (!skip) out[got++] = *p;
@@ -291,7 +291,7 @@
 static void beat_run(void *p) {
   site *s = p;
   while (w_nap_about(s->w, t_ms(BEAT_MS))) {
-    spot w[WATCHERS];
+    ring_place w[WATCHERS];
     int n = site_watchers(s, s->v.self, w);
     Wire__Beat b = WIRE__BEAT__INIT;
     b.turn = ++s->turn;
@@ -311,7 +311,7 @@
       if (slept) m->watched = now;
       if (m->gone && t_past(now, t_add(m->lost, t_ms(FORGET_MS)))) { list_cut(&m->n); g_free(m); continue; }
       if (m->gone) continue;
-      spot w[WATCHERS];
+      ring_place w[WATCHERS];
       int k = site_watchers(s, m->self, w);
       bool mine = false;
       for (int i = 0; i < k; i++) mine |= id_eq(w[i].self, s->v.self);
@@ -459,7 +459,7 @@
   s->calls = w->draw(w) >> 16;
   s->open = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
   list_init(&s->machines);
-  s->ring = g_array_new(FALSE, TRUE, sizeof(spot));
+  s->ring = g_array_new(FALSE, TRUE, sizeof(ring_place));
   s->ringStale = true;
   bell_init(&s->moved);
   w->on_post = on_post;
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -54,7 +54,7 @@
 /** How many others watch a machine's heartbeats. */
 enum { WATCHERS = 3 };
 /** A machine's place on the ring of heartbeats. */
-typedef struct spot { uint64_t at; id self, area; char addr[48]; } spot;
+typedef struct ring_place { uint64_t at; id self, area; char addr[48]; } ring_place;
 
 typedef struct site site;
 /** A reply in the making, and what it points to, which goes once it is sent. */
@@ -118,7 +118,7 @@
 /** A live machine of a role, drawn by chance, preferring the one at addr `last`; a gone one when none lives; or NULL. */
 machine *site_some(site *s, enum role r, const char *last);
 /** The watchers of a name: the next on the ring, from other areas first. Gives their number. */
-int site_watchers(site *s, id who, spot out[WATCHERS]);
+int site_watchers(site *s, id who, ring_place out[WATCHERS]);
 /** The machines of a role that are known here and have not said that they leave, gone ones too; this one counts if it has the role. */
 int site_known(site *s, enum role r);
 /** The machines' table as JSON. */
--- a/tests/member.c
+++ b/tests/member.c
@@ -4,19 +4,19 @@
 static site *site_of(host *h) { return !h->alive ? NULL : h->m ? &h->m->s : h->va ? &h->va->s : NULL; }
 
 static int place_cmp(const void *a, const void *b) {
-  const spot *x = a, *y = b;
+  const ring_place *x = a, *y = b;
   return x->at < y->at ? -1 : x->at > y->at;
 }
 
 /* the rule said plainly: clockwise from the name, first those of areas that are not among the chosen yet, then the others */
-static int by_the_rule(site *s, id who, spot out[WATCHERS]) {
-  spot all[200];
+static int by_the_rule(site *s, id who, ring_place out[WATCHERS]) {
+  ring_place all[200];
   int n = 0, got = 0;
   uint64_t from = hash_two("ring", who.s);
-  if (!id_eq(who, s->v.self)) { all[n] = (spot){ hash_two("ring", s->v.self.s) - from, s->v.self, s->v.area, "" }; g_strlcpy(all[n++].addr, s->v.addr, 48); }
+  if (!id_eq(who, s->v.self)) { all[n] = (ring_place){ hash_two("ring", s->v.self.s) - from, s->v.self, s->v.area, "" }; g_strlcpy(all[n++].addr, s->v.addr, 48); }
   list_each(m, &s->machines, machine, n) {
     if (m->gone || id_eq(m->self, who)) continue;
-    all[n] = (spot){ hash_two("ring", m->self.s) - from, m->self, m->area, "" };
+    all[n] = (ring_place){ hash_two("ring", m->self.s) - from, m->self, m->area, "" };
     g_strlcpy(all[n++].addr, m->addr, 48);
   }
   qsort(all, (size_t)n, sizeof *all, place_cmp);
@@ -30,7 +30,7 @@
 }
 
 static void compare(fleet *f, site *s, id who) {
-  spot is[WATCHERS], should[WATCHERS];
+  ring_place is[WATCHERS], should[WATCHERS];
   int n = site_watchers(s, who, is), k = by_the_rule(s, who, should);
   if (n != k) { breach(f, "%s names %d watchers of %s, not %d", s->v.self.s, n, who.s, k); return; }
   for (int i = 0; i < n; i++)
