--- a/lib/gate/loader.c
+++ b/lib/gate/loader.c
@@ -6,10 +6,13 @@
        UNLOAD_MS = 12000, RATES_MS = 1000, RECENT_RATE_MS = 5000, RECENT_MS = 60, FAIL_MS = 800, ONE_COORDINATOR = 32, BUSY_COST = 300, DRAIN_LEAST_MS = 1000, SURE_MS = 1800, CANDS = 96,
        AHEAD_MS = 250, COPIES_AT_ONCE = 4 };
 
+/* copies beyond the next one go only where next to nothing has to make way */
+static const double EXTRA_SHARE = 0.1;
+
 /* what this node asks for; lives while requests ask again */
 typedef struct want_job { char *key; id service, model, adapter; unsigned priority; bool copy, lost; tick asked, due, failed_till; int code; id tried; tick tried_till; } want_job;
 /* at a coordinator: one placement for the whole fleet */
-typedef struct placing { char *key; id service, model, adapter, engine; unsigned priority; bool copy, done, begun; tick asked, due; int code, held; int64_t wait; double cost; bell b; } placing;
+typedef struct placing { char *key; id service, model, adapter, engine; unsigned priority; bool copy, done, begun, extra; tick asked, due; int code, held; int64_t wait; double cost; bell b; } placing;
 /* at a holder: one job of an engine */
 typedef struct place_job { node n; id model, adapter; unsigned priority; bool copy, done, begun; tick since, asked, due; int code, held; int64_t wait; double cost_most; bell b; } place_job;
 
@@ -54,6 +57,32 @@
   return false;
 }
 
+/* counts copies of all that a service's engines hold, for the time of one choice: one by one, each engine's each resident
+   would look through all engines again */
+static void copies_count(gate *g, id service) {
+  g->copies = g_hash_table_new(NULL, NULL);
+  list_each(i, &g->instances, instance, n) {
+    if (i->gone || i->leaving || !id_eq(i->service, service) || instance_lost(i)) continue;
+    list_each(r, &i->residents, resident, n) {
+      if (r->unloading) continue;
+      for (int k = -1; k < (int)r->adapters->len; k++) {
+        gpointer key = GUINT_TO_POINTER(run_key(r->model, k < 0 ? none : id_c(r->adapters->pdata[k])));
+        g_hash_table_insert(g->copies, key, GINT_TO_POINTER(GPOINTER_TO_INT(g_hash_table_lookup(g->copies, key)) + 1));
+      }
+    }
+  }
+}
+
+static void copies_forget(gate *g) {
+  if (g->copies) g_hash_table_destroy(g->copies);
+  g->copies = NULL;
+}
+
+static int copies_counted(gate *g, id service, id model, id adapter) {
+  if (!g->copies) return instance_copies(g, service, model, adapter);
+  return GPOINTER_TO_INT(g_hash_table_lookup(g->copies, GUINT_TO_POINTER(run_key(model, adapter))));
+}
+
 /* what is on an engine, as the rule sees it; gives the number of them */
 static int residents_as(instance *i, const service *s, id model, id adapter, cand *all, double *mb, unsigned *slots) {
   gate *g = i->g;
@@ -72,7 +101,7 @@
       *slots += k >= 0;
       c->megs = (uint64_t)ceil(size);
       c->slots = k >= 0;
-      int copies = MAX(1, instance_copies(g, i->service, c->model, c->adapter));
+      int copies = MAX(1, copies_counted(g, i->service, c->model, c->adapter));
       c->rate = rate_of(g, c->model, c->adapter) / copies;
       c->penalty = time_of(g, s, c->model, c->adapter, false);
       char key[140];
@@ -865,6 +894,7 @@
   bool tried = false;
   for (guint k = 0; soon && k < not_these->len; k++) tried |= !strcmp(not_these->pdata[k], soon->self.s);
   if (soon && !tried) return soon;
+  copies_count(g, s->name);
   for (int round = 0; round < 2 && !best; round++)
     list_each(i, &g->instances, instance, n) {
       char addr[48];
@@ -880,13 +910,14 @@
       if (cost < 0) { *code = E_ROOM; continue; }
       double evict = cost;
       bool there = instance_resident(i, p->model) != NULL, warm = g_hash_table_contains(i->held_before, p->model.s);
-      if (p->copy && cost > worth) { *code = E_ROOM; continue; }
+      if (p->copy && cost > (p->extra ? EXTRA_SHARE : 1) * worth) { *code = E_ROOM; continue; }
       double load_ms = (there ? 0 : time_of(g, s, p->model, none, warm)) + (id_none(p->adapter) ? 0 : time_of(g, s, p->model, p->adapter, warm));
       unsigned all = i->slots ? i->slots : s->engine_slots;
       double delay = load_ms + drain + queued_on(g, i->self, p) + (all ? 300.0 * instance_running(i) / all : 0) + (there || warm ? 0 : 300) + (cost > 0 ? 60 : 0);
       cost += delay * MAX(lambda, 0.6) + (double)w_draw(g->v->s.w, 10);
       if (!best || cost < least) { best = i; least = cost; p->cost = evict; }
     }
+  copies_forget(g);
   return best;
 }
 
@@ -997,7 +1028,7 @@
     char *key = g_strdup_printf("%s#%d", p->key, k);
     placing *o = g_hash_table_lookup(g->placings, key);
     if (o && !o->done) { o->asked = now_of(g); g_free(key); continue; }
-    placing_start(g, key, p->service, p->model, p->adapter, p->priority, true);
+    placing_start(g, key, p->service, p->model, p->adapter, p->priority, true)->extra = true;
     g_free(key);
     more--;
   }
