--- a/lib/gate/loader.c
+++ b/lib/gate/loader.c
@@ -7,9 +7,9 @@
        AHEAD_MS = 250, COPIES_AT_ONCE = 4 };
 
 /* what this node asks for; lives while requests ask again */
-typedef struct want_job { char *key; id service, model, adapter; unsigned priority; bool copy, lost; tick since, asked, due, failed_till; int code; id tried; tick tried_till; } want_job;
+typedef struct want_job { char *key; id service, model, adapter; unsigned priority; bool copy, lost; tick asked, due, failed_till; int code; id tried; tick tried_till; } want_job;
 /* at a coordinator: one placement for the whole fleet */
-typedef struct placing { char *key; id service, model, adapter, engine; unsigned priority; bool copy, done, begun; tick since, asked, due; int code, held; int64_t wait; double cost; bell b; } placing;
+typedef struct placing { char *key; id service, model, adapter, engine; unsigned priority; bool copy, done, begun; tick asked, due; int code, held; int64_t wait; double cost; bell b; } placing;
 /* at a holder: one job of an engine */
 typedef struct place_job { node n; id model, adapter; unsigned priority; bool copy, done, begun; tick since, asked, due; int code, held; int64_t wait; double cost_most; bell b; } place_job;
 
@@ -705,8 +705,7 @@
   return (priority == 0 ? 1.5 : priority == 1 ? 1 : 0.5) * (1 + 3 * rate_of(g, model, adapter));
 }
 
-/* what nobody holds must not wait for ever behind what many ask for: its time in all lines counts */
-static double job_worth(gate *g, const place_job *j) { return load_worth(g, j->priority, j->model, j->adapter) + since_ms(g, j->since) / (j->copy ? 1500 : 400); }
+static double job_worth(gate *g, const place_job *j) { return load_worth(g, j->priority, j->model, j->adapter) + since_ms(g, j->since) / 1500; }
 
 /* one task for each engine that has jobs; the more useful and older come first */
 static void work_run(void *p) {
@@ -743,11 +742,6 @@
   instance_unref(i);
 }
 
-static tick earlier(tick since, gate *g, uint64_t waited) {
-  tick at = t_sub(now_of(g), t_ms((int64_t)MIN(waited, 60000)));
-  return at.us < since.us ? at : since;
-}
-
 static int on_place(void *ctx, Wire__Envelope *in, reply *o, err *x) {
   gate *g = ctx;
   Wire__Place *q = in->place;
@@ -776,7 +770,6 @@
     list_push(&i->orders, &j->n);
   }
   j->asked = now_of(g);
-  j->since = earlier(j->since, g, q->waited);
   j->priority = MIN(j->priority, q->priority);
   j->copy &= q->copy;
   j->cost_most = (double)q->costmost;
@@ -962,11 +955,9 @@
     id engine = i->self;
     Wire__Place q = WIRE__PLACE__INIT;
     q.engine = engine.s; q.service = p->service.s; q.model = p->model.s; q.adapter = p->adapter.s; q.priority = p->priority; q.wait = ASK_MS; q.copy = p->copy;
-    q.waited = p->copy ? 0 : (uint64_t)since_ms(g, p->since);
     /* what is asked for much may push out what is asked for less, however dear the room has become meanwhile */
     int shares = p->copy ? instance_copies(g, s->name, p->model, p->adapter) + 1 : 1;
-    /* ... and what nobody holds takes any room once it was turned away twice */
-    if (p->copy || blanks < 2) q.costmost = (uint64_t)MAX(2 * p->cost + 1000, time_of(g, s, p->model, p->adapter, false) * rate_of(g, p->model, p->adapter) / shares);
+    q.costmost = (uint64_t)MAX(2 * p->cost + 1000, time_of(g, s, p->model, p->adapter, false) * rate_of(g, p->model, p->adapter) / shares);
     Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_PLACE, &q), *b;
     err x = { 0 };
     int r = site_call(&g->v->s, addr, &m, t_ms(CALL_MS), &b, &x);
@@ -1011,7 +1002,7 @@
   placing *p = g_new0(placing, 1);
   p->key = g_strdup(key);
   p->service = service; p->model = model; p->adapter = adapter; p->priority = priority; p->copy = copy;
-  p->since = p->asked = now_of(g);
+  p->asked = now_of(g);
   bell_init(&p->b);
   p->held = 1;
   /* one that is done and still read by somebody leaves the table and is freed by the last reader */
@@ -1045,7 +1036,6 @@
   placing *p = g_hash_table_lookup(g->placings, key);
   if (p && p->done) { p = NULL; }
   if (!p) p = placing_start(g, key, s, m, a, q->priority, q->copy);
-  p->since = earlier(p->since, g, q->waited);
   if (q->copy) copies_more(g, p);
   g_free(key);
   p->asked = now_of(g);
@@ -1096,7 +1086,6 @@
     coordinator(g, j, &who, addr);
     Wire__Want q = WIRE__WANT__INIT;
     q.service = j->service.s; q.model = j->model.s; q.adapter = j->adapter.s; q.priority = j->priority; q.wait = ASK_MS; q.copy = j->copy;
-    q.waited = j->copy ? 0 : (uint64_t)since_ms(g, j->since);
     Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_WANT, &q), *b;
     err x = { 0 };
     int r = site_call(&g->v->s, addr, &m, t_ms(CALL_MS), &b, &x);
@@ -1152,7 +1141,7 @@
     bool warm = false;
     list_each(i, &g->instances, instance, n) warm |= !i->gone && !i->leaving && id_eq(i->service, s->name) && g_hash_table_contains(i->held_before, model.s);
     j->due = ms_from(g, 30 + (there ? 0 : time_of(g, s, model, none, warm)) + (id_none(adapter) ? 0 : time_of(g, s, model, adapter, false)));
-    j->since = j->asked = now_of(g);
+    j->asked = now_of(g);
     g_hash_table_insert(g->wants, j->key, j);
     struct { gate *g; want_job *j; } *t = g_malloc(sizeof *t);
     t->g = g; t->j = j;
