--- a/Makefile
+++ b/Makefile
@@ -59,7 +59,11 @@
 	@mkdir -p $(B)/bin
 	@$(CC) $(CFLAGS) $^ $(LIBS) -o $@
 
-bench: $(addprefix $(B)/bin/,$(BENCH))
+$(B)/bin/scale: $(B)/bench/scale.o $(OURS)
+	@mkdir -p $(B)/bin
+	@$(CC) $(CFLAGS) $^ $(LIBS) -o $@
+
+bench: $(addprefix $(B)/bin/,$(BENCH) scale)
 stories: $(B)/bin/stories
 
 clean:
