Large fleets: rates go by collectors, tickets to heirs; dear room is refused later

Cause: with 63 gateways each told its rates to all others every second, and each load's tickets and times went to all: thousands of messages a second (CAPACITY.md: rates grow with the square). Change, beyond 16 nodes: eight collectors, each for a share of the keys, gather rates and say the whole every 2 s; tickets and notes of orders go to the three who would come next for the duty; one load time in eight is told. Also the bound on dear room is 2 times and 3 s, not 1.

--- a/lib/gate/gate.h
+++ b/lib/gate/gate.h
@@ -122,6 +122,7 @@
   GHashTable *copies;       /* while an engine is chosen: run_key -> copies, counted once */
   GHashTable *paces;        /* service -> struct pace: when loads out of the store began */
   tick spare_load;          /* when this node last began a load without the pacer's ticket */
+  GHashTable *rates_whole;  /* of a large fleet: what a key's collector says of the whole */
   GHashTable *rates_told;   /* key -> int64_t: totals that the others have */
 } gate;
 
--- a/lib/gate/loader.c
+++ b/lib/gate/loader.c
@@ -3,7 +3,7 @@
 #include <stdio.h>
 
 enum { ALIVE_MS = 1600, LAPSE_MS = 1000, ASK_MS = 800, CALL_MS = 1300, ORDER_MS = 1500, REPORT_MS = 800, LAG_MS = 450, YOUNG_MS = 1000, TICKET_MS = 400, LAST_MS = 150,
-       UNLOAD_MS = 12000, RATES_MS = 1000, RECENT_RATE_MS = 5000, RECENT_MS = 60, FAIL_MS = 800, ONE_COORDINATOR = 32, BUSY_COST = 300, DRAIN_LEAST_MS = 1000, SURE_MS = 1800, CANDS = 96,
+       UNLOAD_MS = 12000, RATES_MS = 1000, RECENT_RATE_MS = 5000, WHOLE_MS = 2000, FEW_NODES = 16, SHARDS = 8, RECENT_MS = 60, FAIL_MS = 800, ONE_COORDINATOR = 32, BUSY_COST = 300, DRAIN_LEAST_MS = 1000, SURE_MS = 1800, CANDS = 96,
        AHEAD_MS = 250, COPIES_AT_ONCE = 4 };
 
 /* copies beyond the next one go only where next to nothing has to make way */
@@ -44,11 +44,16 @@
   return history_penalty(&g->v->h, s->name, key, 0.25 * cold);
 }
 
+/** A key's rate over the whole fleet, as its collector said. */
+typedef struct whole_rate { double rate; tick at; } whole_rate;
+
 static double rate_of(gate *g, id model, id adapter) {
   char key[140];
   history_key(key, sizeof key, model, adapter);
   /* demand moves within seconds: half of the weight lies on the latest of them */
-  return 0.5 * history_rate(&g->v->h, key) + 0.5 * history_recent(&g->v->h, key, t_ms(RECENT_RATE_MS));
+  double own = 0.5 * history_rate(&g->v->h, key) + 0.5 * history_recent(&g->v->h, key, t_ms(RECENT_RATE_MS));
+  whole_rate *w = g->nodes > FEW_NODES ? g_hash_table_lookup(g->rates_whole, key) : NULL;
+  return w && !t_past(now_of(g), t_add(w->at, t_ms(4 * WHOLE_MS))) ? MAX(own, w->rate) : own;
 }
 
 static bool wanted_here(instance *i, id model, id adapter) {
@@ -202,6 +207,8 @@
   g_array_append_val(a, at);
 }
 
+static void heirs_cast(gate *g, const char *duty, Wire__Envelope *m);
+
 /* a call asks for a ticket; a cast says that a load began, so that whoever takes the pace over knows */
 static int on_ticket(void *ctx, Wire__Envelope *in, reply *o, err *e) {
   gate *g = ctx;
@@ -240,7 +247,7 @@
   Wire__Ticket t = WIRE__TICKET__INIT;
   t.engine = in->ticket->engine; t.key = in->ticket->key; t.epoch = epoch;
   Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_TICKET, &t);
-  list_each(x, &v->s.machines, machine, n) if (x->role == ROLE_VANE && !x->gone) site_cast(&v->s, x->addr, &m);
+  heirs_cast(g, "pacer", &m);
   return OK;
 }
 
@@ -507,7 +514,28 @@
   return err_set(x, E_ROOM, "%s found no room in time", i->self.s);
 }
 
+/* sends to those who would come next for a duty, who are all when nodes are few */
+static void heirs_cast(gate *g, const char *duty, Wire__Envelope *m) {
+  enum { HEIRS = 3 };
+  machine *heir[HEIRS] = { NULL };
+  uint64_t top[HEIRS] = { 0 };
+  list_each(x, &g->v->s.machines, machine, n) {
+    if (x->role != ROLE_VANE || x->gone) continue;
+    if (g->nodes <= FEW_NODES) { site_cast(&g->v->s, x->addr, m); continue; }
+    uint64_t h = hash_two(duty, x->self.s);
+    int at = HEIRS;
+    while (at > 0 && h > top[at - 1]) at--;
+    if (at == HEIRS) continue;
+    for (int k = HEIRS - 1; k > at; k--) { top[k] = top[k - 1]; heir[k] = heir[k - 1]; }
+    top[at] = h;
+    heir[at] = x;
+  }
+  for (int k = 0; k < HEIRS; k++) if (heir[k]) site_cast(&g->v->s, heir[k]->addr, m);
+}
+
 static void timed_cast(gate *g, id type, const char *key, double ms) {
+  /* among many nodes each load is one of many: some of their times suffice */
+  if (g->nodes > FEW_NODES && w_draw(g->v->s.w, 8)) return;
   Wire__Timed t = WIRE__TIMED__INIT, *tp = &t;
   Wire__Rates q = WIRE__RATES__INIT;
   t.type = type.s; t.key = (char *)key; t.ms = (uint64_t)ms;
@@ -583,7 +611,9 @@
     Wire__Ticket t = WIRE__TICKET__INIT;
     t.engine = i->self.s; t.key = "";
     Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_TICKET, &t);
-    list_each(k, &g->v->s.machines, machine, n) if (k->role == ROLE_VANE && !k->gone) site_cast(&g->v->s, k->addr, &m);
+    char duty[64];
+    duty_engine(duty, sizeof duty, i->self);
+    heirs_cast(g, duty, &m);
   }
   /* taken, or nobody knows: the same order again says 200 once it is up, and never starts another load while it is not */
   bool sure = st == 202, up = st == 200, slow = false;
@@ -965,7 +995,7 @@
     q.engine = engine.s; q.service = p->service.s; q.model = p->model.s; q.adapter = p->adapter.s; q.priority = p->priority; q.wait = ASK_MS; q.copy = p->copy;
     /* what is asked for much may push out what is asked for less, however dear the room has become meanwhile */
     int shares = p->copy ? instance_copies(g, s->name, p->model, p->adapter) + 1 : 1;
-    q.costmost = (uint64_t)MAX(2 * p->cost + 1000, time_of(g, s, p->model, p->adapter, false) * rate_of(g, p->model, p->adapter) / shares);
+    q.costmost = (uint64_t)MAX(2 * p->cost + 3000, time_of(g, s, p->model, p->adapter, false) * rate_of(g, p->model, p->adapter) / shares);
     Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_PLACE, &q), *b;
     err x = { 0 };
     int r = site_call(&g->v->s, addr, &m, t_ms(CALL_MS), &b, &x);
@@ -1168,17 +1198,74 @@
   gate *g = ctx;
   (void)o; (void)e;
   Wire__Rates *q = in->rates;
-  for (size_t i = 0; i < q->n_rates; i++) if (strlen(q->rates[i]->key) < 100) history_heard(&g->v->h, q->nonce, q->rates[i]->key, q->rates[i]->total, q->rates[i]->window);
+  for (size_t i = 0; q->whole && i < q->n_rates; i++) {
+    if (strlen(q->rates[i]->key) >= 100) continue;
+    whole_rate *r = g_hash_table_lookup(g->rates_whole, q->rates[i]->key);
+    if (!r) { r = g_new0(whole_rate, 1); g_hash_table_insert(g->rates_whole, g_strdup(q->rates[i]->key), r); }
+    *r = (whole_rate){ (double)q->rates[i]->total / 1000, now_of(g) };
+  }
+  for (size_t i = 0; !q->whole && i < q->n_rates; i++) if (strlen(q->rates[i]->key) < 100) history_heard(&g->v->h, q->nonce, q->rates[i]->key, q->rates[i]->total, q->rates[i]->window);
   for (size_t i = 0; i < q->n_timed; i++)
     if (id_fits(str_of(q->timed[i]->type)) && strlen(q->timed[i]->key) < 130 && q->timed[i]->ms < 600000) history_timed(&g->v->h, id_c(q->timed[i]->type), q->timed[i]->key, (double)q->timed[i]->ms);
   return OK;
 }
 
+/* in a large fleet rates are gathered by some collectors, each for a share of the keys: the first live vane for it in an order
+   that all agree on. They say what they know of the whole to all; every node telling every other one grew with the square */
+static int shard_of(const char *key) { return (int)(hash_of(key, strlen(key), 7) % SHARDS); }
+
+static void collector(gate *g, int shard, char addr[48]) {
+  site *s = &g->v->s;
+  char by[24];
+  snprintf(by, sizeof by, "rates:%d", shard);
+  uint64_t top = s->leaving ? 0 : hash_two(by, s->v.self.s);
+  g_strlcpy(addr, s->leaving ? "" : s->v.addr, 48);
+  list_each(m, &s->machines, machine, n) {
+    if (m->role != ROLE_VANE || m->gone || m->leaving) continue;
+    uint64_t h = hash_two(by, m->self.s);
+    if (h > top) { top = h; g_strlcpy(addr, m->addr, 48); }
+  }
+}
+
+static void rates_send(gate *g, GPtrArray *some, const char *addr, bool whole) {
+  vane *v = g->v;
+  if (!some->len) return;
+  Wire__Rates q = WIRE__RATES__INIT;
+  q.nonce = v->s.nonce; q.n_rates = some->len; q.rates = (Wire__Rate **)some->pdata; q.whole = whole;
+  Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_RATES, &q);
+  if (addr) { site_cast(&v->s, addr, &m); return; }
+  list_each(x, &v->s.machines, machine, n) if (x->role == ROLE_VANE && !x->gone) site_cast(&v->s, x->addr, &m);
+}
+
+/* what this node collects, told to all: only what is asked for at all, and once more when that ends */
+static void rates_tell(gate *g, const bool mine[SHARDS]) {
+  vane *v = g->v;
+  GPtrArray *some = g_ptr_array_new_with_free_func(g_free);
+  GHashTableIter it;
+  gpointer k;
+  g_hash_table_iter_init(&it, v->h.tallies);
+  while (g_hash_table_iter_next(&it, &k, NULL)) {
+    if (!mine[shard_of(k)]) continue;
+    double rate = 0.5 * history_rate(&v->h, k) + 0.5 * history_recent(&v->h, k, t_ms(RECENT_RATE_MS));
+    whole_rate *was = g_hash_table_lookup(g->rates_whole, k);
+    if (rate <= 0 && (!was || was->rate <= 0)) continue;
+    if (!was) { was = g_new0(whole_rate, 1); g_hash_table_insert(g->rates_whole, g_strdup(k), was); }
+    *was = (whole_rate){ rate, now_of(g) };
+    Wire__Rate *r = g_new(Wire__Rate, 1);
+    wire__rate__init(r);
+    r->key = k;
+    r->total = (uint64_t)(rate * 1000);
+    g_ptr_array_add(some, r);
+  }
+  rates_send(g, some, NULL, true);
+  g_ptr_array_free(some, TRUE);
+}
+
 /* only what has changed since it was last told is told */
 static void rates_run(void *p) {
   gate *g = p;
   vane *v = g->v;
-  uint64_t met = 0;
+  uint64_t met = 0, turns = 0;
   for (;;) {
     history_window_fix(&v->h, (tick){ (int64_t)((g->x.rate_window_s > 0 ? g->x.rate_window_s : 20) * 1e6) });
     if (!w_nap_about(v->s.w, t_ms(RATES_MS))) return;
@@ -1187,6 +1274,9 @@
     list_each(x, &v->s.machines, machine, n) if (x->role == ROLE_VANE && !x->gone) now_met += x->nonce;
     if (now_met != met) g_hash_table_remove_all(g->rates_told);
     met = now_met;
+    bool many = g->nodes > FEW_NODES, own[SHARDS] = { false };
+    char to[SHARDS][48];
+    for (int b = 0; many && b < SHARDS; b++) { collector(g, b, to[b]); own[b] = !strcmp(to[b], v->s.v.addr); }
     GPtrArray *all = g_ptr_array_new_with_free_func(g_free);
     GHashTableIter it;
     gpointer k, t;
@@ -1202,11 +1292,15 @@
       r->window = history_mine(&v->h, k, &r->total);
       g_ptr_array_add(all, r);
     }
-    Wire__Rates q = WIRE__RATES__INIT;
-    q.nonce = v->s.nonce; q.n_rates = all->len; q.rates = (Wire__Rate **)all->pdata;
-    Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_RATES, &q);
-    if (all->len) list_each(x, &v->s.machines, machine, n) if (x->role == ROLE_VANE && !x->gone) site_cast(&v->s, x->addr, &m);
+    if (!many) rates_send(g, all, NULL, false);
+    for (int b = 0; many && b < SHARDS; b++) {
+      GPtrArray *some = g_ptr_array_new();
+      for (guint n = 0; !own[b] && n < all->len; n++) if (shard_of(((Wire__Rate *)all->pdata[n])->key) == b) g_ptr_array_add(some, all->pdata[n]);
+      if (to[b][0]) rates_send(g, some, to[b], false);
+      g_ptr_array_free(some, TRUE);
+    }
     g_ptr_array_free(all, TRUE);
+    if (many && ++turns % (WHOLE_MS / RATES_MS) == 0) rates_tell(g, own);
   }
 }
 
@@ -1214,6 +1308,7 @@
   vane *v = g->v;
   g->placings = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, placing_free);
   g->paces = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, pace_free);
+  g->rates_whole = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   g->rates_told = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   site_on(&v->s, WIRE__ENVELOPE__BODY_TICKET, on_ticket, g);
   site_on(&v->s, WIRE__ENVELOPE__BODY_PLACE, on_place, g);
@@ -1228,5 +1323,6 @@
   if (g->placings) g_hash_table_destroy(g->placings);
   if (g->paces) g_hash_table_destroy(g->paces);
   if (g->rates_told) g_hash_table_destroy(g->rates_told);
-  g->placings = g->paces = g->rates_told = NULL;
+  if (g->rates_whole) g_hash_table_destroy(g->rates_whole);
+  g->placings = g->paces = g->rates_told = g->rates_whole = NULL;
 }
