--- a/lib/gate/loader.c
+++ b/lib/gate/loader.c
@@ -1074,7 +1074,7 @@
   placing *p = g_hash_table_lookup(g->placings, key);
   if (p && p->done) { p = NULL; }
   if (!p) p = placing_start(g, key, s, m, a, q->priority, q->copy);
-  if (q->copy) copies_more(g, p);
+  if (q->copy && g->nodes > FEW_NODES) copies_more(g, p);
   g_free(key);
   p->asked = now_of(g);
   p->priority = MIN(p->priority, q->priority);
