--- a/lib/gate/status.c
+++ b/lib/gate/status.c
@@ -9,9 +9,9 @@
   bool first = true;
   list_each(i, &g->instances, instance, n) {
     if (i->gone) continue;
-    json_f(to, "%s{\"id\":\"%s\",\"service\":\"%s\",\"area\":\"%s\",\"version\":\"%s\",\"addr\":\"%s\",\"slots\":%u,\"leaving\":%s,\"usable\":%s,\"suspect\":%s,\"running\":%d,\"othersRunning\":%d,"
+    json_f(to, "%s{\"id\":\"%s\",\"service\":\"%s\",\"area\":\"%s\",\"version\":\"%s\",\"addr\":\"%s\",\"slots\":%u,\"leaving\":%s,\"usable\":%s,\"suspect\":%s,\"failing\":%s,\"running\":%d,\"othersRunning\":%d,"
            "\"tokens\":%.0f,\"fails\":%d,\"lastBeatMs\":%" PRId64 ",\"heardMs\":%" PRId64 ",\"firstMs\":%.1f,\"msPerToken\":%.4f,\"models\":[",
-           first ? "" : ",", i->self.s, i->service.s, i->area.s, i->version.s, i->addr, i->slots, yes(i->leaving), yes(instance_usable(i)), yes(i->suspect), i->running, i->others_running,
+           first ? "" : ",", i->self.s, i->service.s, i->area.s, i->version.s, i->addr, i->slots, yes(i->leaving), yes(instance_usable(i)), yes(i->suspect), yes(i->fails > 0 || instance_ill(i)), i->running, i->others_running,
            i->tokens, i->fails, ago(now, i->beat_at), ago(now, i->last_byte), i->base_ms, i->ms_per_token);
     first = false;
     bool f = true;
--- a/lib/site/doctor.c
+++ b/lib/site/doctor.c
@@ -242,7 +242,7 @@
     }
     for (size_t k = 0; k < json_count(e); k++) {
       const json *x = json_at(e, k);
-      if (json_yes(x, "leaving", false) || (json_yes(x, "usable", true) && !json_yes(x, "suspect", false))) continue;
+      if (json_yes(x, "leaving", false) || (json_yes(x, "usable", true) && !json_yes(x, "suspect", false) && !json_yes(x, "failing", false))) continue;
       const char *name = json_text(x, "id", "?");
       g_hash_table_insert(shun, g_strdup(name), GINT_TO_POINTER(GPOINTER_TO_INT(g_hash_table_lookup(shun, name)) + 1));
     }
