--- a/lib/gate/forward.c
+++ b/lib/gate/forward.c
@@ -5,7 +5,7 @@
 
 /* UP_MS: how long a connection may take to come up; SEND_MS: nothing is sent later than that after the choice. */
 enum { UP_MS = 300, SEND_MS = 400, TRIES = 4, AVOID_MOST = 8, BODY_MOST = 8 << 20, HEARD_MS = 2000, LATE_MS = 250, AGAIN_MS = 500,
-       STEP_MS = 200, SHUN_MS = 150, AGE_MS = 400, LOOK_MS = 150, SILENCE_MS = 2000 };
+       STEP_MS = 200, SHUN_MS = 150, AGE_MS = 400, SILENCE_MS = 2000 };
 
 /** What became of one attempt. */
 enum end { END_DONE, END_AGAIN, END_NOT_SENT, END_NOT_RUN, END_FAILED, END_LATE, END_LEFT };
@@ -224,7 +224,6 @@
   int64_t whole = MAX(first_left_ms(f), 0), target = f->r->target_ms > 0 ? f->r->target_ms : whole;
   tick quarter = t_add(f->since, t_ms(target / 4)), half = t_add(f->since, t_ms(whole * 45 / 100));
   bool judged = false, wanted = false;
-  int looks = 0;
   int code = OK;
   line_join(f);
   f->a->left = &f->wake;
@@ -246,15 +245,14 @@
         int x = want_model(g, f->to, f->model, f->adapter, f->r->priority, false, &est, &wait);
         g->n.wants++;
         double all = est + (x ? (double)MAX(wait, 50) : 0);
-        if (looks < 2 || x || t_past(now, load_at)) {
+        if (!wanted || x || t_past(now, load_at)) {
           load_at = t_add(now, t_ms((int64_t)all));
           if (all + need > (double)left) { give_up(f, 503, (int64_t)all, "its model can't be loaded in time\n"); code = x ? x : E_LATE; break; }
         }
         wanted = !x;
-        /* the first estimate is a guess: it is looked at again once those who place have said how long their lines are */
-        asked = t_add(now, t_ms(x ? MAX(wait, 50) : looks++ ? 1000 : MIN(target / 4, LOOK_MS)));
+        asked = t_add(now, t_ms(x ? MAX(wait, 50) : 1000));
       }
-      if (!wanted || looks == 1) step = sooner(step, asked);
+      if (!wanted) step = sooner(step, asked);
     } else if (f->why == PICK_FULL) {
       double est = place_ms(f, need), spare = (double)target - ms_since(f, f->since);
       if (!judged && (t_past(now, quarter) || est > spare)) {
--- a/lib/gate/loader.c
+++ b/lib/gate/loader.c
@@ -2,7 +2,7 @@
 #include <math.h>
 #include <stdio.h>
 
-enum { ALIVE_MS = 1600, FIRST_MS = 80, LAPSE_MS = 1000, ASK_MS = 800, CALL_MS = 1300, ORDER_MS = 1500, REPORT_MS = 800, LAG_MS = 450, YOUNG_MS = 1000, TICKET_MS = 400, LAST_MS = 150,
+enum { ALIVE_MS = 1600, LAPSE_MS = 1000, ASK_MS = 800, CALL_MS = 1300, ORDER_MS = 1500, REPORT_MS = 800, LAG_MS = 450, YOUNG_MS = 1000, TICKET_MS = 400, LAST_MS = 150,
        UNLOAD_MS = 12000, RATES_MS = 1000, RECENT_RATE_MS = 5000, WHOLE_MS = 2000, FEW_NODES = 16, SHARDS = 8, RECENT_MS = 60, FAIL_MS = 800, ONE_COORDINATOR = 32, BUSY_COST = 300, DRAIN_LEAST_MS = 1000, SURE_MS = 1800, CANDS = 96,
        AHEAD_MS = 250, COPIES_AT_ONCE = 4 };
 
@@ -12,7 +12,7 @@
 /* what this node asks for; lives while requests ask again */
 typedef struct want_job { char *key; id service, model, adapter; unsigned priority; bool copy, lost; tick asked, due, failed_till; int code; id tried; tick tried_till; } want_job;
 /* at a coordinator: one placement for the whole fleet */
-typedef struct placing { char *key; id service, model, adapter, engine; unsigned priority; bool copy, done, begun, extra, told; tick asked, due; int code, held; int64_t wait; double cost; bell b; } placing;
+typedef struct placing { char *key; id service, model, adapter, engine; unsigned priority; bool copy, done, begun, extra; tick asked, due; int code, held; int64_t wait; double cost; bell b; } placing;
 /* at a holder: one job of an engine */
 typedef struct place_job { node n; id model, adapter; unsigned priority; bool copy, done, begun; tick since, asked, due; int code, held; int64_t wait; double cost_most; bell b; } place_job;
 
@@ -985,7 +985,6 @@
       if (!w_nap_about(g->v->s.w, t_ms(150))) { code = E_DEAD; break; }
       continue;
     }
-    bool young = !id_eq(p->engine, i->self);
     if (!id_eq(p->engine, i->self)) {
       p->engine = i->self;
       bool warm = g_hash_table_contains(i->held_before, p->model.s);
@@ -993,8 +992,7 @@
     }
     id engine = i->self;
     Wire__Place q = WIRE__PLACE__INIT;
-    q.engine = engine.s; q.service = p->service.s; q.model = p->model.s; q.adapter = p->adapter.s; q.priority = p->priority; q.wait = young && !p->told ? FIRST_MS / 2 : ASK_MS; q.copy = p->copy;
-    p->told = true;
+    q.engine = engine.s; q.service = p->service.s; q.model = p->model.s; q.adapter = p->adapter.s; q.priority = p->priority; q.wait = ASK_MS; q.copy = p->copy;
     /* what is asked for much may push out what is asked for less, however dear the room has become meanwhile */
     int shares = p->copy ? instance_copies(g, s->name, p->model, p->adapter) + 1 : 1;
     q.costmost = (uint64_t)MAX(2 * p->cost + 3000, time_of(g, s, p->model, p->adapter, false) * rate_of(g, p->model, p->adapter) / shares);
@@ -1120,15 +1118,12 @@
   gate *g = a->g;
   want_job *j = a->j;
   g_free(a);
-  /* the first answer comes soon, so that whoever can't be served in time is told at once */
-  bool first = true;
   while (want_alive(g, j)) {
     id who;
     char addr[48];
     coordinator(g, j, &who, addr);
     Wire__Want q = WIRE__WANT__INIT;
-    q.service = j->service.s; q.model = j->model.s; q.adapter = j->adapter.s; q.priority = j->priority; q.wait = first ? FIRST_MS : ASK_MS; q.copy = j->copy;
-    first = false;
+    q.service = j->service.s; q.model = j->model.s; q.adapter = j->adapter.s; q.priority = j->priority; q.wait = ASK_MS; q.copy = j->copy;
     Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_WANT, &q), *b;
     err x = { 0 };
     int r = site_call(&g->v->s, addr, &m, t_ms(CALL_MS), &b, &x);
