Large fleets place by parts of models and engines

Cause: beyond 32 nodes each model had a coordinator of its own; none knew the others' lines, so they chose the same engines. Change: one part for 16 nodes; a part has a coordinator, a share of models, and a share of the engines for them; copies may go anywhere.

--- a/lib/gate/loader.c
+++ b/lib/gate/loader.c
@@ -3,7 +3,7 @@
 #include <stdio.h>
 
 enum { ALIVE_MS = 1600, LAPSE_MS = 1000, ASK_MS = 800, CALL_MS = 1300, ORDER_MS = 1500, REPORT_MS = 800, LAG_MS = 450, YOUNG_MS = 1000, TICKET_MS = 400, LAST_MS = 150,
-       UNLOAD_MS = 12000, RATES_MS = 1000, RECENT_RATE_MS = 5000, WHOLE_MS = 2000, FEW_NODES = 16, SHARDS = 8, RECENT_MS = 60, FAIL_MS = 800, ONE_COORDINATOR = 32, BUSY_COST = 300, DRAIN_LEAST_MS = 1000, SURE_MS = 1800, CANDS = 96,
+       UNLOAD_MS = 12000, RATES_MS = 1000, RECENT_RATE_MS = 5000, WHOLE_MS = 2000, FEW_NODES = 16, SHARDS = 8, RECENT_MS = 60, FAIL_MS = 800, ONE_COORDINATOR = 32, PART_NODES = 16, BUSY_COST = 300, DRAIN_LEAST_MS = 1000, SURE_MS = 1800, CANDS = 96,
        AHEAD_MS = 250, COPIES_AT_ONCE = 4 };
 
 /* copies beyond the next one go only where next to nothing has to make way */
@@ -914,6 +914,11 @@
   return n;
 }
 
+/* large fleets place by parts: each has its coordinator, a share of the models, and a share of the engines for them, so that
+   coordinators who do not know each other's lines keep out of each other's way */
+static int parts_of(gate *g) { return g->nodes <= ONE_COORDINATOR ? 1 : CLAMP(g->nodes / PART_NODES, 2, 64); }
+static int part_of(const char *name, int parts) { return (int)(hash_of(name, strlen(name), 11) % (uint64_t)parts); }
+
 /* the engine where a thing costs least: what had to go, how long it waits and loads, how busy the engine is */
 static instance *choose(gate *g, placing *p, const service *s, const GPtrArray *not_these, int *code) {
   instance *best = NULL;
@@ -921,6 +926,7 @@
   int copies = instance_copies(g, s->name, p->model, p->adapter);
   double worth = time_of(g, s, p->model, p->adapter, false) * lambda / (copies + 1);
   *code = E_ENGINE;
+  int parts = parts_of(g);
   instance *soon = p->copy ? NULL : base_on_its_way(g, p);
   bool tried = false;
   for (guint k = 0; soon && k < not_these->len; k++) tried |= !strcmp(not_these->pdata[k], soon->self.s);
@@ -931,6 +937,7 @@
       char addr[48];
       if (!id_eq(i->service, s->name) || i->gone || i->leaving || !i->models_known || (!round && (i->mute_till.us > now_of(g).us || i->suspect || instance_ill(i) || !instance_usable(i)))) continue;
       if (i->ends_at.us && !t_past(i->ends_at, ms_from(g, 30000))) continue;
+      if (parts > 1 && !round && !p->copy && part_of(i->self.s, parts) != part_of(p->model.s, parts)) continue;
       if (p->copy && (instance_holds(i, p->model, p->adapter) || copies_coming(g, p, i))) continue;
       bool barred = false;
       for (guint k = 0; k < not_these->len; k++) barred |= !strcmp(not_these->pdata[k], i->self.s);
@@ -1094,8 +1101,10 @@
 /* the vane that places a service's models, by an order that all agree on; one whose call failed is passed over for a while */
 static void coordinator(gate *g, want_job *j, id *who, char addr[48]) {
   char by[128];
-  bool few = g->nodes <= ONE_COORDINATOR, skip = !id_none(j->tried) && !t_past(now_of(g), j->tried_till);
-  snprintf(by, sizeof by, "place:%s%s%s", j->service.s, few ? "" : "/", few ? "" : j->model.s);
+  bool skip = !id_none(j->tried) && !t_past(now_of(g), j->tried_till);
+  int parts = parts_of(g);
+  if (parts == 1) snprintf(by, sizeof by, "place:%s", j->service.s);
+  else snprintf(by, sizeof by, "place:%s/%d", j->service.s, part_of(j->model.s, parts));
   site *s = &g->v->s;
   uint64_t top = 0;
   *who = s->v.self;
