--- a/lib/gate/forward.c
+++ b/lib/gate/forward.c
@@ -43,6 +43,11 @@
   const char *text;
   double held_ms, first_ms;
   id last;
+  /* the policy that it goes by from its first line to its last, whatever is in force by then */
+  canary_part part;
+  select_policy policy;
+  char trial[48];
+  double begun_ms;
 } flight;
 
 static tick now_of(const flight *f) { return w_now(f->g->v->s.w); }
@@ -98,7 +103,7 @@
 
 static bool choose(flight *f, seat *s) {
   pick_ask q = { .to = f->to, .model = f->model, .adapter = f->adapter, .prefix = f->r->affinity ? f->prefix : NULL, .tokens = f->tokens,
-                 .target_ms = f->r->target_ms, .left_ms = first_left_ms(f), .priority = f->r->priority, .once = !repeats(f), .avoid = f->avoid, .avoided = f->avoided };
+                 .target_ms = f->r->target_ms, .left_ms = first_left_ms(f), .priority = f->r->priority, .policy = f->part.run ? &f->policy : NULL, .once = !repeats(f), .avoid = f->avoid, .avoided = f->avoided };
   f->why = PICK_OK;
   instance *i = pick(f->g, &q, &f->why, &f->est);
   if (!i) return false;
@@ -222,7 +227,7 @@
   if (f->at.i) return OK;
   tick from = now_of(f), asked = { 0 }, load_at = t_never();
   int64_t whole = MAX(first_left_ms(f), 0), target = f->r->target_ms > 0 ? f->r->target_ms : whole;
-  tick quarter = t_add(f->since, t_ms(target / 4)), half = t_add(f->since, t_ms(whole * 45 / 100));
+  tick quarter = t_add(f->since, t_ms(target / 4)), half = t_add(f->since, t_ms(whole * (f->part.run ? f->policy.hold_percent : select_usual.hold_percent) / 100));
   bool judged = false, wanted = false;
   int code = OK;
   line_join(f);
@@ -281,6 +286,7 @@
   ask *a = f->a;
   if (a->began) return;
   if (!a->reply_fields) a->reply_fields = g_string_new(NULL);
+  f->begun_ms = ms_since(f, f->since);
   fields_forward(c->in_fields, a->reply_fields, none);
 }
 
@@ -470,6 +476,7 @@
   g_string_truncate(f->out, f->out_base);
   fields_addf(f->out, word(f, DF_TIME_LEFT_MS), "%" PRId64, MAX(left_ms(f), 1));
   fields_add(f->out, word(f, DF_EXPECT_ENGINE), str_of(i->self.s));
+  if (f->part.run && word(f, DF_POLICY)) fields_addf(f->out, word(f, DF_POLICY), "%s %s", f->trial, f->part.side == SIDE_CANDIDATE ? "candidate" : "old");
   if (f->joined) {
     fields_addf(f->out, word(f, DF_LAST_EVENT_ID), "%" PRIu64, f->last_id);
     if (f->versions[0]) fields_add(f->out, word(f, DF_EXPECT_VERSION), str_of(f->versions));
@@ -639,7 +646,7 @@
 
 /* the fields that stay as they came; the others are added for each attempt */
 static void base_fields(flight *f) {
-  const char *skip[] = { word(f, DF_TIME_LEFT_MS), word(f, DF_EXPECT_ENGINE), word(f, DF_PRIORITY), word(f, DF_LAST_EVENT_ID), word(f, DF_EXPECT_VERSION), "host", NULL };
+  const char *skip[] = { word(f, DF_TIME_LEFT_MS), word(f, DF_EXPECT_ENGINE), word(f, DF_PRIORITY), word(f, DF_LAST_EVENT_ID), word(f, DF_EXPECT_VERSION), "host", word(f, DF_POLICY), NULL };
   str host;
   f->out = g_string_sized_new(f->a->fields->len + 256);
   if (!fields_get(f->a->fields, "Host", &host)) host = str_of(f->a->host);
@@ -649,6 +656,13 @@
   f->out_base = f->out->len;
 }
 
+static void take_part(flight *f) {
+  f->part = canary_admit(f->g, f->a, f->r);
+  if (!f->part.run) return;
+  f->policy = *canary_policy(f->g, &f->part);
+  g_strlcpy(f->trial, canary_name(f->g), sizeof f->trial);
+}
+
 void forward_serve(void *ctx, ask *a) {
   gate *g = ctx;
   world *w = g->v->s.w;
@@ -662,7 +676,7 @@
   if (!fields_get(a->fields, g->x.words->field[DF_REQUEST_ID], &rid) || !rid.n) { answer(g, a, 400, 0, 0, "the request has no id\n"); return; }
   int64_t left = fields_num(a->fields, g->x.words->field[DF_TIME_LEFT_MS], r->timeout_ms);
   left = MIN(left, r->timeout_ms);
-  flight f = { .g = g, .a = a, .conf = routing_ref((routing *)g->now), .r = r, .since = came, .till = t_add(came, t_ms(left)) };
+  flight f = { .g = g, .a = a, .conf = routing_ref((routing *)g->now), .r = r, .since = came, .till = t_add(came, t_ms(left)), .begun_ms = -1 };
   f.to = route_leg_of(r, (double)w_draw(w, 1 << 20) / (1 << 20));
   f.request = g_strndup(rid.p, rid.n);
   f.rank = came.us + (int64_t)r->priority * AGE_MS * 1000;
@@ -671,7 +685,15 @@
   else {
     base_fields(&f);
     g->open++;
-    finish(&f, interpret(&f));
+    if (g->canary) take_part(&f);
+    int code = interpret(&f);
+    /* a caller who left early shows nothing; one who left after its aim was let down */
+    bool left = code == E_GONE || a->gone;
+    double took = ms_since(&f, came);
+    bool began = a->began;
+    finish(&f, code);
+    int told = left ? (f.begun_ms < 0 && took > (double)r->target_ms ? 504 : 0) : code && began ? 502 : a->status;
+    if (f.part.run) canary_note(g, &f.part, r, f.begun_ms, told);
     g->open--;
   }
   if (f.at.i) release(&f, &f.at, true);
--- a/lib/gate/gate.c
+++ b/lib/gate/gate.c
@@ -13,6 +13,7 @@
 
 static void on_installed(void *p) {
   gate *g = p;
+  canary_installed(g);
   routing *was = (routing *)g->now;
   if (g->v->routes == was) return;
   g->now = g->v->routes ? routing_ref(g->v->routes) : NULL;
@@ -30,6 +31,7 @@
 static void each_duty(void *p, void (*one)(vane *v, const char *duty)) {
   gate *g = p;
   char d[64];
+  if (g->canary) one(g->v, "canary");
   list_each(i, &g->instances, instance, n) {
     const service *s = i->gone || !g->now ? NULL : routing_service(g->now, i->service.s);
     if (!s || !s->model_count) continue;
@@ -73,6 +75,7 @@
   v->page = page;
   if (x->rate_window_s > 0) history_window(&v->h, (tick){ (int64_t)(x->rate_window_s * 1e6) });
   on_installed(g);
+  canary_start(g);
   instances_start(g);
   loader_start(g);
   forward_start(g);
@@ -127,6 +130,7 @@
 
 void gate_free(gate *g) {
   if (!g) return;
+  canary_free(g);
   loader_free(g);
   instances_free(g);
   g_hash_table_destroy(g->instance_at); g_hash_table_destroy(g->wants);
--- a/lib/gate/gate.h
+++ b/lib/gate/gate.h
@@ -122,6 +122,8 @@
   GHashTable *copies;       /* while an engine is chosen: run_key -> copies, counted once */
   GHashTable *paces;        /* service -> struct pace: when loads out of the store began */
   tick spare_load;          /* when this node last began a load without the pacer's ticket */
+  struct canary *canary;    /* the trial that runs; NULL without one */
+  struct canary_judge *judge;   /* at its judge */
   GHashTable *rates_told;   /* key -> int64_t: totals that the others have */
 } gate;
 
@@ -197,6 +199,7 @@
   double tokens;            /* of the prompt */
   int64_t target_ms, left_ms;
   unsigned priority;
+  const select_policy *policy;  /* NULL: the usual one */
   bool once;                /* it may not be sent again once sent */
   const id *avoid;
   int avoided;
@@ -245,6 +248,23 @@
 /** The log of a node that takes the pace over: heard are those it knows of. */
 void pace_take_over(GArray *log, tick since, tick born, tick window, int most);
 
+/* canary.c: a trial of a selection policy */
+/** A request's part in a trial: its side, and whether it counts as evidence; run 0 where no trial is. */
+typedef struct canary_part { uint64_t run; enum canary_side side; bool counts; } canary_part;
+/** Takes up, or drops, what the newest configuration says of trials. */
+void canary_installed(gate *g);
+/** Settles a request's side, once, when it comes. */
+canary_part canary_admit(gate *g, const ask *a, const route *r);
+/** Notes how it ended: ms to the first event passed on, or a negative number, and the status as told. */
+void canary_note(gate *g, const canary_part *p, const route *r, double first_ms, int status);
+/** The name of the trial that runs, and the policy of a side. */
+const char *canary_name(const gate *g);
+const select_policy *canary_policy(const gate *g, const canary_part *p);
+void canary_start(gate *g);
+void canary_free(gate *g);
+void canary_json(gate *g, GString *to);
+void canary_metrics(gate *g, GString *to);
+
 /* status.c */
 /** Why a gateway is not ready; NULL when it is. */
 const char *gate_unready(const gate *g);
--- a/lib/gate/select.c
+++ b/lib/gate/select.c
@@ -2,7 +2,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-static const double LATE_SHARE = 3;
 enum { CANDS = 512, PARTS = 32, SLOW_MS = 1000, COPY_MS = 1500, TRUST_MS = 1000, ILL_COST = 3000, MANY_NODES = 16 };
 
 double est_first(double base_ms, double ms_per_token, double ahead, double fresh, int running, unsigned slots, double run_ms) {
@@ -66,7 +65,7 @@
 /* a model whose best estimate is slow for a second request within a second, or because of others that wait there, gets
    one more copy: where nodes are many, each of them sees few requests of a model */
 static void spread(gate *g, const pick_ask *q, double est, double queue_ms) {
-  if (!q->target_ms || est < 0.45 * (double)q->target_ms) return;
+  if (!q->target_ms || est < (q->policy ? q->policy : &select_usual)->copy_share * (double)q->target_ms) return;
   char key[160];
   snprintf(key, sizeof key, "%s/%s+%s", q->to->name.s, q->model.s, q->adapter.s);
   tick now = w_now(g->v->s.w);
@@ -83,6 +82,7 @@
 
 instance *pick(gate *g, const pick_ask *q, enum pick_none *why, double *est_ms) {
   const service *s = q->to;
+  const select_policy *o = q->policy ? q->policy : &select_usual;
   instance *c[CANDS];
   int n = 0, held = 0, open = 0, any = 0;
   tick now = w_now(g->v->s.w);
@@ -136,17 +136,17 @@
     if (slots && running >= (int)slots + (llm ? 0 : 2)) continue;
     if (q->left_ms > 0 && est > (double)q->left_ms) continue;
     /* a place in a line that is already too long helps nobody behind it */
-    if (llm && q->target_ms && est > LATE_SHARE * (double)q->target_ms && ahead > 0) continue;
-    double cost = est;
+    if (llm && q->target_ms && est > o->late_share * (double)q->target_ms && ahead > 0) continue;
+    double cost = o->load * est;
     /* parts that are read again are paid for, beside the time they take */
-    if (shared && i != home) cost += i->ms_per_token * MAX(shared_tokens - (kept ? upto[kept - 1] : 0), 0);
-    if (q->target_ms && est > 0.5 * (double)q->target_ms) cost += 3 * (est - 0.5 * (double)q->target_ms);
+    if (shared && i != home) cost += o->affinity * i->ms_per_token * MAX(shared_tokens - (kept ? upto[kept - 1] : 0), 0);
+    if (q->target_ms && est > 0.5 * (double)q->target_ms) cost += o->load * 3 * (est - 0.5 * (double)q->target_ms);
     if (llm && s->kv_tokens > 0) {
       double use = (running + 1) * MAX(i->usual_tokens, 1) * 1.15 / s->kv_tokens;
       if (use > 0.85) cost += (use - 0.85) * 4000;
     }
-    if (!llm) cost = est * (1 + (slots ? (double)running / slots : running));
-    if (!id_eq(i->area, g->v->s.v.area)) cost += llm ? 3 : 1.5;
+    if (!llm) cost = o->load * est * (1 + (slots ? (double)running / slots : running));
+    if (!id_eq(i->area, g->v->s.v.area)) cost += o->area * (llm ? 3 : 1.5);
     if (instance_ill(i)) cost += ILL_COST;
     cost += (double)w_draw(g->v->s.w, 1000) / 1000;
     if (!best || cost < least) { best = i; least = cost; best_est = est; best_fresh = fresh; }
--- a/lib/gate/status.c
+++ b/lib/gate/status.c
@@ -60,7 +60,9 @@
   services_json(g, to);
   g_string_append(to, "],\"engines\":[");
   instances_json(g, to);
-  g_string_append(to, "]}");
+  g_string_append_c(to, ']');
+  canary_json(g, to);
+  g_string_append_c(to, '}');
 }
 
 void gate_metrics(gate *g, GString *to) {
@@ -70,4 +72,5 @@
   json_f(to, "asterfall_gateway_requests %" PRIu64 "\nasterfall_gateway_served %" PRIu64 "\nasterfall_gateway_refused %" PRIu64 "\nasterfall_gateway_failed %" PRIu64 "\nasterfall_gateway_left %" PRIu64
          "\nasterfall_gateway_not_found %" PRIu64 "\nasterfall_gateway_attempts %" PRIu64 "\nasterfall_gateway_retries %" PRIu64 "\nasterfall_gateway_resumed %" PRIu64 "\nasterfall_gateway_open %d\nasterfall_gateway_engines %d\nasterfall_gateway_loads %" PRIu64 "\nasterfall_gateway_loads_failed %" PRIu64 "\nasterfall_gateway_ready %d\n",
          n->requests, n->served, n->refused, n->failed, n->left, n->no_route, n->attempts, n->seconds, n->resumed, g->open, up, n->loads, n->failed_loads, !gate_unready(g));
+  canary_metrics(g, to);
 }
--- a/lib/mast/mast.c
+++ b/lib/mast/mast.c
@@ -123,6 +123,50 @@
   return r;
 }
 
+/* the end of a trial, by the one that holds its duty now, and of the very trial that it judged */
+typedef struct { id who; uint64_t nonce; Wire__CanaryEnd *in; } end_ctx;
+
+static int end_make(void *ctx, state *spec, GString *op, err *e) {
+  end_ctx *x = ctx;
+  const grant *g = state_grant(spec, "canary");
+  if (!g || !id_eq(g->holder, x->who) || g->nonce != x->nonce || g->epoch != x->in->epoch) return err_set(e, E_EPOCH, "another judges this trial");
+  if (spec->res[RES_CANARY].version != x->in->version) return err_set(e, E_RACE, "the trial is another, or has ended");
+  json *was = json_read(str_g(spec->res[RES_CANARY].text), e), *end = was ? json_read((str){ (char *)x->in->end.data, x->in->end.len }, e) : NULL;
+  if (!was || !end) { json_free(was); return e->code; }
+  json *next = json_merge(json_copy(was), end);
+  int r = canary_follows(was, next, e);
+  if (!r) {
+    GString *text = g_string_new(NULL);
+    json_write(next, text);
+    Wire__Res res = WIRE__RES__INIT;
+    Wire__Op w = WIRE__OP__INIT;
+    res.name = (char *)res_name[RES_CANARY];
+    res.text.data = (uint8_t *)text->str; res.text.len = text->len;
+    w.res = &res;
+    size_t n = wire__op__get_packed_size(&w);
+    g_string_set_size(op, n);
+    wire__op__pack(&w, (uint8_t *)op->str);
+    g_string_free(text, TRUE);
+  }
+  json_free(was);
+  json_free(end);
+  json_free(next);
+  return r;
+}
+
+static int on_canary_end(void *ctx, Wire__Envelope *in, reply *o, err *e) {
+  mast *m = ctx;
+  if (!core_heads(&m->c)) return err_set(e, E_CORE, "not the acting head");
+  end_ctx x = { id_c(in->from->id), in->from->nonce, in->canaryend };
+  uint64_t seq = 0;
+  int r = core_write(&m->c, end_make, &x, t_ms(3000), &seq, e);
+  if (r) { say(&m->s.log, "api", "Refused the end of a trial from %s: %s (code %d).", x.who.s, e->text, r); return r; }
+  say(&m->s.log, "api", "The trial's judge %s ended it with write %" PRIu64 ".", x.who.s, seq);
+  Wire__CanaryEndBack *b = reply_new(o, WIRE__ENVELOPE__BODY_CANARYENDBACK, &wire__canary_end_back__descriptor);
+  b->ok = true;
+  return OK;
+}
+
 static int on_news(void *ctx, Wire__Envelope *in, reply *o, err *e) {
   mast *m = ctx;
   core *c = &m->c;
@@ -202,6 +246,14 @@
   return r;
 }
 
+static int canary_fits(const state *spec, str text, err *e) {
+  json *was = json_read(str_g(spec->res[RES_CANARY].text), e), *next = json_read(text, e);
+  int r = was && next ? canary_follows(was, next, e) : e->code;
+  json_free(was);
+  json_free(next);
+  return r;
+}
+
 static int write_make(void *ctx, state *spec, GString *op, err *e) {
   write_ctx *x = ctx;
   const once *o = x->key ? state_once(spec, x->key) : NULL;
@@ -237,6 +289,7 @@
   if (!r && !c) r = e->code;
   config_free(c);
   if (!r && x->which == RES_ROUTING) r = routing_fits(t, e);
+  if (!r && x->which == RES_CANARY) r = canary_fits(spec, t, e);
   if (!r) {
     Wire__Res res = WIRE__RES__INIT;
     Wire__Op w = WIRE__OP__INIT;
@@ -505,6 +558,7 @@
   site_on(&m->s, WIRE__ENVELOPE__BODY_HOLDS, on_holds, m);
   site_on(&m->s, WIRE__ENVELOPE__BODY_NEWS, on_news, m);
   site_on(&m->s, WIRE__ENVELOPE__BODY_HAVE, on_have, m);
+  site_on(&m->s, WIRE__ENVELOPE__BODY_CANARYEND, on_canary_end, m);
   m->have = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   m->giving = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   bell_init(&m->had);
--- a/lib/mast/state.c
+++ b/lib/mast/state.c
@@ -122,7 +122,8 @@
 
 uint64_t state_sum(const state *t) {
   uint64_t n = hash_of(&t->seq, sizeof t->seq, t->fleet);
-  for (int i = 0; i < RES_COUNT; i++) n ^= hash_of(t->res[i].text->str, t->res[i].text->len, t->res[i].version * RES_COUNT + i);
+  /* the same as on core machines of a version without the later ones, as long as these are blank */
+  for (int i = 0; i < RES_COUNT; i++) if (i < RES_CANARY || t->res[i].version) n ^= hash_of(t->res[i].text->str, t->res[i].text->len, t->res[i].version * RES_CANARY + i);
   GHashTableIter it;
   gpointer v;
   g_hash_table_iter_init(&it, t->grants);
--- a/lib/site/config.c
+++ b/lib/site/config.c
@@ -1,7 +1,7 @@
 #include "config.h"
 #include <math.h>
 
-const char *const res_name[RES_COUNT] = { "catalogue", "policy", "evacuation", "routing" };
+const char *const res_name[RES_COUNT] = { "catalogue", "policy", "evacuation", "routing", "canary" };
 static const char *const op_name[] = { "enrol", "select", "hold", "proxy", "answer", "refuse" };
 static const char *const evictions[] = { "cremebrulee", "popularity", "lru", "random" };
 
@@ -256,7 +256,7 @@
   c->rules[0] = (rule){ "*", "*", "*", { { OP_ENROL, 0 }, { OP_SELECT, 0 }, { OP_HOLD, 0 }, { OP_PROXY, 0 }, { OP_ANSWER, 0 } }, 5 };
   c->ruleCount = 1;
   if ((res[RES_CATALOGUE] && catalogue(c, res[RES_CATALOGUE], e)) || (res[RES_POLICY] && policy(c, res[RES_POLICY], e)) ||
-      (res[RES_EVACUATION] && evacuation(c, res[RES_EVACUATION], e))) {
+      (res[RES_EVACUATION] && evacuation(c, res[RES_EVACUATION], e)) || canary_make(&c->canary, res[RES_CANARY], e)) {
     config_free(c);
     return NULL;
   }
--- a/lib/site/config.h
+++ b/lib/site/config.h
@@ -1,10 +1,11 @@
 #ifndef SITE_CONFIG_H
 #define SITE_CONFIG_H
+#include "canary.h"
 #include "formula.h"
 #include "json.h"
 
 /** The resources that operators write; routing is compiled by routing.h. */
-enum res { RES_CATALOGUE, RES_POLICY, RES_EVACUATION, RES_ROUTING, RES_COUNT };
+enum res { RES_CATALOGUE, RES_POLICY, RES_EVACUATION, RES_ROUTING, RES_CANARY, RES_COUNT };
 extern const char *const res_name[RES_COUNT];
 enum { RES_MOST = 4 << 20, KINDS_MOST = 8, STEPS_MOST = 12, RULES_MOST = 64, OWN_MOST = 8 };
 
@@ -35,6 +36,7 @@
   int kindCount;
   rule rules[RULES_MOST];
   int ruleCount;
+  canary_plan canary;
 } config;
 
 /** Compiles the three values, each NULL for its default; NULL with e (path and reason) when they are bad. */
--- a/lib/site/dialect.c
+++ b/lib/site/dialect.c
@@ -8,7 +8,8 @@
     [DF_LAST_EVENT_ID] = "Last-Event-Id", [DF_STAMP] = "Asterfall-Stamp", [DF_EXPECT_ENGINE] = "Asterfall-Engine-Expected",
     [DF_NOT_RUN] = "Asterfall-Not-Run", [DF_BASE_REVISION] = "Asterfall-Base-Version", [DF_ENGINE_ID] = "Asterfall-Engine",
     [DF_MODEL] = "Asterfall-Model", [DF_TOKENS] = "Asterfall-Tokens", [DF_PRIORITY] = "Asterfall-Priority",
-    [DF_WEIGHT_VERSIONS] = "Asterfall-Weight-Versions", [DF_EXPECT_VERSION] = "Asterfall-Version-Expected" },
+    [DF_WEIGHT_VERSIONS] = "Asterfall-Weight-Versions", [DF_EXPECT_VERSION] = "Asterfall-Version-Expected",
+    [DF_SESSION] = "Asterfall-Session", [DF_POLICY] = "Asterfall-Policy" },
   .call = {
     [DC_READY] = { "GET", "/ready" }, [DC_BEAT] = { "POST", "/v1/engines/{}/beat" }, [DC_LEAVE] = { "POST", "/v1/engines/{}/leave" },
     [DC_CONFIG_PUT] = { "PUT", "/v1/routing" }, [DC_CONFIG_PATCH] = { "PATCH", "/v1/routing" }, [DC_CONFIG_GET] = { "GET", "/v1/routing" },
--- a/lib/site/dialect.h
+++ b/lib/site/dialect.h
@@ -2,10 +2,11 @@
 #define SITE_DIALECT_H
 #include "json.h"
 
-/** Header fields that the data plane reads or writes. */
+/** Header fields that the data plane reads or writes; a dialect may lack the last two. */
 enum dialect_field {
   DF_REQUEST_ID, DF_TIME_LEFT_MS, DF_PREFIX, DF_LAST_EVENT_ID, DF_STAMP, DF_EXPECT_ENGINE, DF_NOT_RUN, DF_BASE_REVISION,
-  DF_ENGINE_ID, DF_MODEL, DF_TOKENS, DF_PRIORITY, DF_WEIGHT_VERSIONS, DF_EXPECT_VERSION, DF_COUNT };
+  DF_ENGINE_ID, DF_MODEL, DF_TOKENS, DF_PRIORITY, DF_WEIGHT_VERSIONS, DF_EXPECT_VERSION,
+  DF_SESSION, DF_POLICY, DF_COUNT };
 /** Calls that others make to us, or that we make to engines; an id stands for {}. */
 enum dialect_call { DC_READY, DC_BEAT, DC_LEAVE, DC_CONFIG_PUT, DC_CONFIG_PATCH, DC_CONFIG_GET, DC_ORDER, DC_REPORT, DC_COUNT };
 typedef struct dialect_path { const char *verb, *path; } dialect_path;
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -72,7 +72,7 @@
   tick twin, born;
   GHashTable *open;
   node machines;
-  struct { site_hand fn; void *ctx; } hands[64];
+  struct { site_hand fn; void *ctx; } hands[80];
   int busy;
   bell moved;
   /** The ring of the machines that are thought live, by place; it is made anew once it is asked for after a change. */
--- a/lib/vane/news.c
+++ b/lib/vane/news.c
@@ -79,6 +79,8 @@
     for (int k = 0; k < RES_COUNT; k++) if (!strcmp(d->res[i]->name, res_name[k])) part[k] = d->res[i];
   for (int k = 0; ok && k < RES_COUNT; k++) {
     /* a part that was left out must be held here in just that version, so that the whole is never a mix */
+    /* a core machine of an older version knows of no trials */
+    if (!part[k] && k == RES_CANARY) continue;
     if (!part[k] || (part[k]->same && part[k]->version != v->resAt[k])) { memset(v->resAt, 0, sizeof v->resAt); ok = false; break; }
     /* what is compiled already is left as it is */
     if (k == RES_ROUTING && part[k]->version == v->resAt[k]) continue;
@@ -103,6 +105,7 @@
     v->fleet = d->fleet; v->seq = d->seq;
     v->epoch = MAX(v->epoch, d->epoch);
     for (int k = 0; k < RES_COUNT; k++) {
+      if (!part[k]) { v->resAt[k] = 0; g_string_assign(v->res[k], "{}"); continue; }
       v->resAt[k] = part[k]->version;
       if (part[k]->same) continue;
       g_string_truncate(v->res[k], 0);
--- a/stand/client.c
+++ b/stand/client.c
@@ -166,6 +166,7 @@
     fields_addf(f, c->words->field[DF_TOKENS], "%.0f,%u", k->tokens_in + k->tokens_shared, k->tokens_out);
     fields_add(f, c->words->field[DF_PREFIX], str_g(t->prefix));
   }
+  if (c->words->field[DF_SESSION]) fields_addf(f, c->words->field[DF_SESSION], "%s-%u", k->name, a->user);
   if (t->resume) fields_addf(f, c->words->field[DF_LAST_EVENT_ID], "%" PRIu64, t->resume);
   call *l = call_open_fields(w, n->front, "POST", y->target, f, str_g(t->body), k->fresh || turn > 0, t_never());
   g_string_free(f, TRUE);
--- a/stand/gateway.h
+++ b/stand/gateway.h
@@ -87,4 +87,13 @@
 /** 15 RECOVER: after an instant, and the time to recover, a quarter is served again. */
 void gate_recover(gw *g, tick loss, tick back);
 void gate_check(gw *g);
+/** How long a session may take to be known everywhere as one that the old policy serves; and nodes to see a trial's end. */
+enum { ELDER_MS = 2500, RETURN_MS = 2000 };
+/** 16 SIDES: in one trial a request goes by one policy, and so does a session, but for one step back to the old policy at a node
+ *  in trouble; by what engines wrote down. */
+void gate_sides(gw *g);
+/** 17 RETURN: of what was sent some time after a trial's end, nothing goes by it. */
+void gate_returned(gw *g, const char *trial, tick ended);
+/** 18 DROPPED: requests under way at an instant end like others do, unless there was other trouble. */
+void gate_dropped(gw *g, tick at);
 #endif
--- a/stand/gateway_check.c
+++ b/stand/gateway_check.c
@@ -465,3 +465,76 @@
   gate_mixed(g); gate_unasked(g); gate_twice(g); gate_refused(g); gate_denied(g); gate_route(g); gate_drained(g); gate_lost(g);
   gate_config(g); gate_budget(g); gate_order(g); gate_one(g); gate_limit(g); gate_ceiling(g);
 }
+
+/* one session in one trial, as its requests came */
+typedef struct side_seen { bool old, candidate, back; tick old_at; const char *first; } side_seen;
+
+void gate_sides(gw *g) {
+  GHashTable *tries = tries_by_id(g), *by_request = g_hash_table_new(g_str_hash, g_str_equal);
+  GHashTable *by_session = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  GPtrArray *runs = g_ptr_array_new();
+  for (guint i = 0; i < g->log->runs->len; i++) {
+    em_run *r = g->log->runs->pdata[i];
+    em_try *y = r->policy[0] ? g_hash_table_lookup(tries, r->request) : NULL;
+    if (!y) continue;
+    em_run *was = g_hash_table_lookup(by_request, r->request);
+    if (was && strcmp(was->policy, r->policy)) breach(g->f, "SIDES %s went by %s, and then by %s", r->request, was->policy, r->policy);
+    if (was) continue;
+    g_hash_table_insert(by_request, r->request, r);
+    g_ptr_array_add(runs, r);
+  }
+  /* in the order in which they were sent, since a request's side is settled when it comes */
+  for (guint i = 1; i < runs->len; i++)
+    for (guint k = i; k > 0; k--) {
+      em_run *a = runs->pdata[k - 1], *b = runs->pdata[k];
+      if (((em_try *)g_hash_table_lookup(tries, a->request))->sent.us <= ((em_try *)g_hash_table_lookup(tries, b->request))->sent.us) break;
+      runs->pdata[k - 1] = b;
+      runs->pdata[k] = a;
+    }
+  for (guint i = 0; i < runs->len; i++) {
+    em_run *r = runs->pdata[i];
+    em_try *y = g_hash_table_lookup(tries, r->request);
+    const char *side = strrchr(r->policy, ' ');
+    if (!side || (strcmp(side, " old") && strcmp(side, " candidate"))) { breach(g->f, "SIDES %s has the policy \"%s\"", r->request, r->policy); continue; }
+    char *key = g_strdup_printf("%.*s %s", (int)(side - r->policy), r->policy, r->session);
+    side_seen *s = g_hash_table_lookup(by_session, key);
+    if (!s) { s = g_new0(side_seen, 1); g_hash_table_insert(by_session, g_strdup(key), s); }
+    if (!strcmp(side, " candidate")) {
+      if (s->old && y->sent.us > s->old_at.us + ELDER_MS * 1000 && in_touch(g, host_by(g, y->node), y->sent)) breach(g->f, "SIDES %s: %s goes by the candidate at %s, %.1f s after the old policy had it", key, r->request, y->node, (double)(y->sent.us - s->old_at.us) / 1e6);
+      s->candidate = true;
+    } else {
+      bool excused = s->back || !in_touch(g, host_by(g, y->node), y->sent) || (s->old && y->sent.us <= s->old_at.us + ELDER_MS * 1000);
+      if (s->candidate && !excused) breach(g->f, "SIDES %s: %s goes by the old policy at %s, and the candidate had it", key, r->request, y->node);
+      if (s->candidate) s->back = true;
+      if (!s->old) { s->old = true; s->old_at = y->sent; }
+    }
+    g_free(key);
+  }
+  g_ptr_array_free(runs, TRUE);
+  g_hash_table_destroy(by_request);
+  g_hash_table_destroy(by_session);
+  g_hash_table_destroy(tries);
+}
+
+void gate_returned(gw *g, const char *trial, tick ended) {
+  GHashTable *tries = tries_by_id(g);
+  for (guint i = 0; i < g->log->runs->len; i++) {
+    em_run *r = g->log->runs->pdata[i];
+    em_try *y = g_hash_table_lookup(tries, r->request);
+    size_t n = strlen(trial);
+    if (!y || strncmp(r->policy, trial, n) || strcmp(r->policy + n, " candidate") || y->sent.us <= ended.us + RETURN_MS * 1000) continue;
+    breach(g->f, "RETURN %s went by the candidate at %s, sent %.1f s after the trial's end", r->request, y->node, (double)(y->sent.us - ended.us) / 1e6);
+    break;
+  }
+  g_hash_table_destroy(tries);
+}
+
+void gate_dropped(gw *g, tick at) {
+  for (guint i = 0; i < g->c->tries->len; i++) {
+    em_try *y = g->c->tries->pdata[i];
+    if (y->sent.us > at.us || y->to.us < at.us || (y->how != 'e' && y->how != 'u') || troubled(g, host_by(g, y->node), y->sent, y->to)) continue;
+    bool other = false;
+    for (guint k = 0; k < g->troubles->len; k++) { trouble *t = &g_array_index(g->troubles, trouble, k); other |= t->from.us <= y->to.us && t->till.us + CONTACT_MS * 1000 >= y->sent.us; }
+    if (!other) breach(g->f, "DROPPED %s of %s at %s was under way at %.1f s, and got no answer", y->request, y->of->kind->name, y->node, (double)at.us / 1e6);
+  }
+}
--- a/stand/instance.c
+++ b/stand/instance.c
@@ -362,6 +362,8 @@
   rec->sum = em_sum(a->verb, a->target, str_g(a->body));
   str v;
   if (fields_get(a->fields, field(e, DF_REQUEST_ID), &v)) g_strlcpy(rec->request, id_of(v).s, sizeof rec->request);
+  if (field(e, DF_POLICY) && fields_get(a->fields, field(e, DF_POLICY), &v)) memcpy(rec->policy, v.p, MIN(v.n, sizeof rec->policy - 1));
+  if (field(e, DF_SESSION) && fields_get(a->fields, field(e, DF_SESSION), &v)) memcpy(rec->session, v.p, MIN(v.n, sizeof rec->session - 1));
   char *model = fields_dup(a->fields, field(e, DF_MODEL)), *prefix = fields_dup(a->fields, field(e, DF_PREFIX)), *tokens = fields_dup(a->fields, field(e, DF_TOKENS));
   char *slash = model ? strchr(model, '/') : NULL;
   if (slash) { *slash = 0; rec->adapter = id_c(slash + 1); }
--- a/stand/instance.h
+++ b/stand/instance.h
@@ -8,7 +8,7 @@
 /** One arrival of a request. how: r runs, d done, f failed by itself, c its caller left, b broken off, t out of time; and
  *  for those that were not run: n turned away, x meant for another or not held here, q gone from the queue. */
 typedef struct em_run {
-  char request[64], from[48], stamp[80], target[96];
+  char request[64], from[48], stamp[80], target[96], policy[64], session[48];
   id engine, service, model, adapter;
   uint64_t sum, resumed_after;
   tick came, at, to, last;
--- /dev/null
+++ b/tests/canary.c
@@ -0,0 +1,422 @@
+#include "gateway.h"
+#include "stories.h"
+#include <stdio.h>
+#include <stdlib.h>
+
+/* trials of a selection policy: given a fleet of gateways under traffic and a trial, when something happens, then each
+ * session keeps to one policy, nothing runs twice or is dropped, and the trial ends when it must */
+
+static const char harmless[] = "{\"affinity\":0.9}";
+/* behind anything else there is no place, and nothing may wait */
+static const char harmful[] = "{\"load\":0,\"affinity\":1000,\"lateShare\":0.05,\"holdPercent\":1}";
+
+static char *trial_text(const char *name, double share, const char *candidate, double warm, double most, int least) {
+  return g_strdup_printf("{\"name\":\"%s\",\"share\":%g,\"candidate\":%s,\"warmS\":%g,\"guard\":{\"least\":%d,\"mostS\":%g}}", name, share, candidate, warm, least, most);
+}
+
+/* writes by any mast; says the status, and looks for a code in the answer */
+static int put(gw *g, const char *verb, const char *text, int code) {
+  op_call *c = fleet_call(g->f, g->f->mast[sim_draw(g->s, (uint64_t)g->f->masts)], verb, "/v1/canary", text, NULL, NULL, t_ms(9000));
+  int st = c->status;
+  char want[24];
+  snprintf(want, sizeof want, "\"code\":%d", code);
+  if (code && !strstr(c->body->str, want)) breach(g->f, "%s got %d %s, not code %d", verb, st, c->body->str, code);
+  call_free(c);
+  return st;
+}
+
+static bool begin_trial(gw *g, const char *name, double share, const char *candidate, double warm, double most, int least) {
+  char *t = trial_text(name, share, candidate, warm, most, least);
+  int st = put(g, "PUT", t, 0);
+  g_free(t);
+  if (st != 200) breach(g->f, "the trial %s was not taken (%d)", name, st);
+  return st == 200;
+}
+
+/* what stands of a trial at the core; the caller frees it */
+static json *stands(gw *g) {
+  for (int i = 0; i < 20; i++) {
+    op_call *c = fleet_call(g->f, g->f->mast[sim_draw(g->s, (uint64_t)g->f->masts)], "GET", "/v1/canary", NULL, NULL, NULL, t_ms(3000));
+    json *j = c->status == 200 ? json_read(str_g(c->body), NULL) : NULL;
+    call_free(c);
+    if (j) return j;
+    sim_run(g->s, t_ms(300));
+  }
+  breach(g->f, "the trial can't be read");
+  return NULL;
+}
+
+static const char *verdict(const json *j) { return json_text(json_get(json_get(j, "value"), "end"), "verdict", ""); }
+
+/* runs until the core has the end, or for a span; says the verdict */
+static bool ends(gw *g, const char *want, int64_t ms, tick *at) {
+  tick till = t_add(g->s->now, t_ms(ms));
+  char got[24] = "";
+  while (!got[0] && !t_past(g->s->now, till)) {
+    sim_run(g->s, t_ms(250));
+    json *j = stands(g);
+    if (!j) return false;
+    g_strlcpy(got, verdict(j), sizeof got);
+    json_free(j);
+  }
+  *at = g->s->now;
+  if (strcmp(got, want)) breach(g->f, "the trial's verdict is \"%s\", not \"%s\"", got, want);
+  return !strcmp(got, want);
+}
+
+static int candidates(gw *g, tick from, tick till) {
+  int n = 0;
+  for (guint i = 0; i < g->log->runs->len; i++) {
+    em_run *r = g->log->runs->pdata[i];
+    n += g_str_has_suffix(r->policy, " candidate") && r->came.us >= from.us && r->came.us < till.us;
+  }
+  return n;
+}
+
+static unit *judge_of(gw *g) {
+  for (int i = 0; i < g->f->vanes; i++) if (g->gates[i]->gate && duty_epoch(g->f->vane[i]->va, "canary")) return g->gates[i];
+  return NULL;
+}
+
+static bool over(gw *g, const char *trial, tick ended, double least) {
+  gw_quiet(g);
+  gate_sides(g);
+  if (ended.us) { gate_returned(g, trial, ended); gate_dropped(g, ended); }
+  return gw_done(g, least);
+}
+
+static bool no_trial_leaves_no_trace(fleet *f) {
+  gw *g = gw_new(f, 4, 2);
+  if (!gw_up(g)) return gw_done(g, 0);
+  gw_traffic(g, 1, 8000);
+  for (guint i = 0; i < g->log->runs->len; i++) if (((em_run *)g->log->runs->pdata[i])->policy[0]) { breach(f, "a policy is named, and there is no trial"); break; }
+  if (judge_of(g)) breach(f, "there is a judge without a trial");
+  for (int i = 0; i < f->vanes; i++) if (g->gates[i]->gate->canary) breach(f, "there is a trial at %s", f->vane[i]->self.s);
+  return gw_done(g, 0.99);
+}
+
+static bool a_harmless_trial_runs_its_time(fleet *f) {
+  gw *g = gw_new(f, 5, 2);
+  if (!gw_up(g)) return gw_done(g, 0);
+  gw_go(g, 1.2);
+  tick began = g->s->now, at = { 0 };
+  if (!begin_trial(g, "calm", 0.4, harmless, 4, 40, 30)) return gw_done(g, 0);
+  ends(g, "no harm", 60000, &at);
+  if (t_sub(at, began).us < 39000000) breach(f, "the trial ended after %.1f s", (double)t_sub(at, began).us / 1e6);
+  int n = candidates(g, began, at);
+  if (n < 40) breach(f, "the candidate had only %d runs", n);
+  sim_run(g->s, t_ms(8000));
+  if (judge_of(g)) breach(f, "a judge is left after the trial");
+  return over(g, "calm", at, 0.97);
+}
+
+static bool a_harmful_trial_ends_itself(fleet *f) {
+  gw *g = gw_new(f, 5, 2);
+  if (!gw_up(g)) return gw_done(g, 0);
+  gw_go(g, 2);
+  tick at = { 0 };
+  if (!begin_trial(g, "harm", 0.4, harmful, 4, 300, 20)) return gw_done(g, 0);
+  if (!ends(g, "harm", 120000, &at)) return over(g, "harm", at, 0);
+  json *j = stands(g);
+  const json *u = json_get(json_get(json_get(json_get(j, "value"), "end"), "urgent"), "candidate");
+  double n = json_num(u, "requests", 1e9);
+  if (n > 300) breach(f, "%.0f urgent requests were put under a harmful candidate", n);
+  json_free(j);
+  sim_run(g->s, t_ms(RETURN_MS));
+  tick back = g->s->now;
+  sim_run(g->s, t_ms(10000));
+  double served = gw_served(g, g->chat, back, t_never());
+  gw_quiet(g);
+  if (served < 0.9) breach(f, "after the trial only %.2f of the urgent work was served", served);
+  return over(g, "harm", at, 0.5);
+}
+
+static bool the_judge_dies_in_a_trial(fleet *f) {
+  gw *g = gw_new(f, 5, 2);
+  if (!gw_up(g)) return gw_done(g, 0);
+  gw_go(g, 2);
+  tick at = { 0 };
+  if (!begin_trial(g, "orphan", 0.4, harmful, 4, 300, 60)) return gw_done(g, 0);
+  sim_run(g->s, t_ms(8000));
+  unit *u = judge_of(g);
+  if (!u) { breach(f, "nobody judges"); return over(g, "orphan", at, 0); }
+  gw_trouble(g, u->h, 'k', 4000);
+  host_kill(u->h);
+  sim_run(g->s, t_ms(3000));
+  host_start(u->h);
+  /* its successor finds the harm, from what the others still have */
+  ends(g, "harm", 120000, &at);
+  sim_run(g->s, t_ms(6000));
+  return over(g, "orphan", at, 0.5);
+}
+
+static bool nodes_restart_in_a_trial(fleet *f) {
+  gw *g = gw_new(f, 5, 2);
+  if (!gw_up(g)) return gw_done(g, 0);
+  gw_go(g, 1.2);
+  tick at = { 0 };
+  if (!begin_trial(g, "restarts", 0.4, harmless, 4, 45, 30)) return gw_done(g, 0);
+  sim_run(g->s, t_ms(9000));
+  for (int i = 0; i < 3; i++) {
+    host *h = f->vane[sim_draw(g->s, (uint64_t)f->vanes)];
+    gw_trouble(g, h, 'k', 3000);
+    host_kill(h);
+    sim_run(g->s, t_ms(1000));
+    host_start(h);
+    sim_run(g->s, t_ms(5000));
+  }
+  ends(g, "no harm", 60000, &at);
+  sim_run(g->s, t_ms(4000));
+  return over(g, "restarts", at, 0.9);
+}
+
+static bool a_node_is_cut_off_in_a_trial(fleet *f) {
+  gw *g = gw_new(f, 5, 2);
+  if (!gw_up(g)) return gw_done(g, 0);
+  gw_go(g, 1.5);
+  tick at = { 0 };
+  if (!begin_trial(g, "cut", 0.5, harmless, 3, 200, 50)) return gw_done(g, 0);
+  sim_run(g->s, t_ms(10000));
+  host *h = f->vane[sim_draw(g->s, (uint64_t)f->vanes)];
+  /* neither core machines nor nodes reach it; callers do */
+  gw_trouble(g, h, 'n', 14000);
+  for (int m = 0; m < f->masts; m++) sim_part(g->s, h->self.s, f->mast[m]->self.s, true);
+  for (int v = 0; v < f->vanes; v++) if (f->vane[v] != h) sim_part(g->s, h->self.s, f->vane[v]->self.s, true);
+  tick cut = g->s->now;
+  sim_run(g->s, t_ms(2000));
+  if (put(g, "PATCH", "{\"state\":\"ended\",\"end\":{\"verdict\":\"stopped\"}}", 0) != 200) breach(f, "the trial could not be stopped");
+  sim_run(g->s, t_ms(12000));
+  tick mended = g->s->now;
+  /* it can't know of the end, and yet gives the candidate nothing more */
+  char ip[48];
+  g_strlcpy(ip, h->addr, sizeof ip);
+  *strchr(ip, ':') = 0;
+  for (guint i = 0; i < g->c->tries->len; i++) {
+    em_try *y = g->c->tries->pdata[i];
+    if (strncmp(y->node, ip, strlen(ip)) || y->sent.us < cut.us + 4500000 || y->sent.us > mended.us) continue;
+    for (guint k = 0; k < g->log->runs->len; k++) {
+      em_run *r = g->log->runs->pdata[k];
+      if (!strcmp(r->request, y->request) && g_str_has_suffix(r->policy, " candidate")) breach(f, "a node that is cut off goes on with the candidate after %.1f s", (double)(y->sent.us - cut.us) / 1e6);
+    }
+  }
+  at = t_add(cut, t_ms(2500));
+  sim_mend(g->s);
+  sim_run(g->s, t_ms(5000));
+  gw_quiet(g);
+  gate_sides(g);
+  gate_returned(g, "cut", t_add(at, t_ms(2500)));
+  return gw_done(g, 0.9);
+}
+
+static bool the_judge_hears_nobody(fleet *f) {
+  gw *g = gw_new(f, 5, 2);
+  if (!gw_up(g)) return gw_done(g, 0);
+  gw_go(g, 1);
+  tick at = { 0 };
+  if (!begin_trial(g, "deaf", 0.5, harmless, 3, 200, 50)) return gw_done(g, 0);
+  sim_run(g->s, t_ms(9000));
+  unit *u = judge_of(g);
+  if (!u) { breach(f, "nobody judges"); return over(g, "deaf", at, 0); }
+  /* it keeps its duty, as the core hears it */
+  gw_trouble(g, NULL, 'n', 20000);
+  for (int v = 0; v < f->vanes; v++) if (f->vane[v] != u->h) sim_part(g->s, u->h->self.s, f->vane[v]->self.s, true);
+  ends(g, "deaf", 25000, &at);
+  sim_mend(g->s);
+  sim_run(g->s, t_ms(4000));
+  return over(g, "deaf", at, 0.9);
+}
+
+static bool operators_start_stop_and_race_trials(fleet *f) {
+  gw *g = gw_new(f, 5, 2);
+  if (!gw_up(g)) return gw_done(g, 0);
+  gw_go(g, 1);
+  char *a = trial_text("ours", 0.5, harmless, 3, 300, 50), *b = trial_text("theirs", 0.5, harmless, 3, 300, 50);
+  op_call *x = fleet_send(f, f->mast[0], "PUT", "/v1/canary", a, NULL, NULL), *y = fleet_send(f, f->mast[1], "PUT", "/v1/canary", b, NULL, NULL);
+  while (!x->done || !y->done) sim_run(g->s, t_ms(50));
+  if ((x->status == 200) == (y->status == 200)) breach(f, "of two trials at once the core took %d and %d", x->status, y->status);
+  const char *won = x->status == 200 ? "ours" : "theirs", *mine = x->status == 200 ? a : b;
+  call_free(x);
+  call_free(y);
+  if (put(g, "PUT", a, E_TRIAL_RUNS) != 400) breach(f, "a trial was put over one that runs");
+  if (put(g, "PUT", "{}", E_TRIAL_RUNS) != 400) breach(f, "a trial that runs was taken away");
+  if (put(g, "PATCH", "{\"state\":\"ended\",\"share\":0.1}", E_TRIAL_KEPT) != 400) breach(f, "an end changed the share");
+  sim_run(g->s, t_ms(9000));
+  if (!candidates(g, (tick){ 0 }, t_never())) breach(f, "the candidate got nothing");
+  if (put(g, "PATCH", "{\"state\":\"ended\",\"end\":{\"verdict\":\"stopped\"}}", 0) != 200) breach(f, "a trial was not stopped");
+  tick at = g->s->now;
+  if (put(g, "PATCH", "{\"state\":\"ended\",\"end\":{\"verdict\":\"again\"}}", E_TRIAL_NONE) != 400) breach(f, "a trial ended twice");
+  if (put(g, "PUT", mine, E_TRIAL_AGAIN) != 400) breach(f, "a trial began again under its name");
+  sim_run(g->s, t_ms(6000));
+  if (put(g, "PUT", "{}", 0) != 200) breach(f, "a trial that has ended can't be taken away");
+  g_free(a);
+  g_free(b);
+  return over(g, won, at, 0.97);
+}
+
+static bool sessions_keep_their_policy_through_tries(fleet *f) {
+  gw *g = gw_new(f, 4, 2);
+  if (!gw_up(g)) return gw_done(g, 0);
+  gw_go(g, 1.2);
+  tick at = { 0 };
+  if (!begin_trial(g, "tries", 0.5, harmless, 4, 40, 500)) return gw_done(g, 0);
+  sim_run(g->s, t_ms(8000));
+  /* answers are lost and cut, so that requests are tried again, resumed at other engines, and sent anew by callers to other nodes */
+  for (int i = 0; i < 10; i++) {
+    em_knobs *k = &g->engine[sim_draw(g->s, g->engines + g->plain)]->plan.k;
+    if (i % 2) k->lose_answers = 2;
+    else { k->cut_answers = 3; k->cut_after = 1 + (unsigned)sim_draw(g->s, 6); }
+    sim_run(g->s, t_ms(2000));
+  }
+  int again = 0;
+  for (guint i = 0; i < g->c->asks->len; i++) again += ((em_ask *)g->c->asks->pdata[i])->tries > 1;
+  int resumed = 0;
+  for (guint i = 0; i < g->log->runs->len; i++) { em_run *r = g->log->runs->pdata[i]; resumed += r->policy[0] && r->resumed_after; }
+  sim_run(g->s, t_ms(14000));
+  json *j = stands(g);
+  if (!verdict(j)[0]) breach(f, "the trial goes on past its time");
+  json_free(j);
+  if (!again || !resumed) breach(f, "nothing was tried again (%d) or resumed (%d): this shows nothing", again, resumed);
+  return over(g, "tries", at, 0.85);
+}
+
+/* names, codes and the draw, without a fleet */
+static bool trials_are_compiled(fleet *f) {
+  static const struct { const char *text; int code; } bad[] = {
+    { "[]", E_TYPE }, { "{\"name\":\"a b\"}", E_NAME }, { "{\"name\":\"a\"}", E_FIELD }, { "{\"name\":\"a\",\"share\":0.6,\"candidate\":{}}", E_RANGE },
+    { "{\"name\":\"a\",\"share\":0.1}", E_FIELD }, { "{\"name\":\"a\",\"share\":0.1,\"candidate\":{\"weight\":1}}", E_FIELD }, { "{\"name\":\"a\",\"share\":\"b\",\"candidate\":{}}", E_TYPE },
+    { "{\"name\":\"a\",\"share\":0.1,\"candidate\":{\"holdPercent\":0}}", E_RANGE }, { "{\"name\":\"a\",\"share\":0.1,\"candidate\":{},\"state\":\"off\"}", E_TRIAL },
+    { "{\"name\":\"a\",\"share\":0.1,\"candidate\":{},\"routes\":[]}", E_RANGE }, { "{\"name\":\"a\",\"share\":0.1,\"candidate\":{},\"priorities\":[9]}", E_RANGE },
+    { "{\"name\":\"a\",\"share\":0.1,\"candidate\":{},\"guard\":{\"error\":0.5}}", E_RANGE }, { "{\"name\":\"a\",\"share\":0.1,\"candidate\":{},\"warmS\":60,\"guard\":{\"mostS\":50}}", E_TRIAL } };
+  for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+    json *j = json_read(str_of(bad[i].text), NULL);
+    canary_plan p;
+    err e = { 0 };
+    int r = canary_make(&p, j, &e);
+    if (r != bad[i].code) breach(f, "%s has code %d (%s), not %d", bad[i].text, r, e.text, bad[i].code);
+    json_free(j);
+  }
+  json *j = json_read(str_of("{\"name\":\"a\",\"share\":0.25,\"candidate\":{\"area\":2},\"routes\":[\"r\"],\"priorities\":[0,1]}"), NULL);
+  canary_plan p, blank;
+  if (canary_make(&p, j, NULL) || p.state != CANARY_RUNNING || p.candidate.area != 2 || p.candidate.late_share != select_usual.late_share) breach(f, "a sound trial is not taken");
+  if (canary_make(&blank, NULL, NULL) || blank.state != CANARY_NONE) breach(f, "without a value there is a trial");
+  if (!canary_takes(&p, id_c("r"), 1) || canary_takes(&p, id_c("r"), 2) || canary_takes(&p, id_c("q"), 0)) breach(f, "the wrong requests take part");
+  int in = 0, other = 0;
+  canary_plan q = p;
+  q.name = id_c("b");
+  for (uint64_t s = 0; s < 20000; s++) {
+    bool x = canary_drawn(&p, hash_of(&s, sizeof s, 9));
+    in += x;
+    other += x && canary_drawn(&q, hash_of(&s, sizeof s, 9));
+  }
+  if (abs(in - 5000) > 250 || abs(other - 1250) > 150) breach(f, "of 20000 sessions %d are drawn, and %d by two trials", in, other);
+  json_free(j);
+  return !f->faults->len;
+}
+
+static double unit_draw(fleet *f) { return (double)sim_draw(f->s, 1 << 30) / (1 << 30); }
+
+/* one trial by numbers, looked at after every request; gives the candidate's requests at the alarm, or -1 */
+static int drawn_trial(fleet *f, const canary_plan *p, double old, double candidate, double late, int most) {
+  canary_totals t = { 0 };
+  for (int i = 0; i < most; i++) {
+    int s = unit_draw(f) < p->share ? SIDE_CANDIDATE : SIDE_OLD;
+    canary_cell *c = &t.cell[s][0];
+    if (unit_draw(f) < (s == SIDE_CANDIDATE ? candidate : old)) c->failed++;
+    else if (unit_draw(f) < late) c->late++;
+    else c->in_aim++;
+    if (i % 5 == 0 && canary_judge(p, &t).harm) return (int)canary_count(&t.cell[SIDE_CANDIDATE][0]);
+  }
+  return -1;
+}
+
+static bool a_guard_seldom_errs_and_sees_harm(fleet *f) {
+  canary_plan p = { .share = 0.3, .late_harm = 0.5, .margin = 0, .error = 0.05, .least = 20 };
+  int alarms = 0, seen = 0, worst = 0;
+  enum { TRIALS = 150, MOST = 1500 };
+  static const double rates[] = { 0.02, 0.1, 0.4 };
+  for (int i = 0; i < TRIALS; i++) alarms += drawn_trial(f, &p, rates[i % 3], rates[i % 3], i % 2 ? 0.2 : 0, MOST) >= 0;
+  /* a chance of 5 in 100 at most; with 150 trials more than 16 would be seen less than once in 1000 */
+  if (alarms > 16) breach(f, "%d of %d trials without a difference ended in alarm", alarms, TRIALS);
+  p.margin = 0.02;
+  for (int i = 0; i < TRIALS; i++) {
+    int n = drawn_trial(f, &p, 0.03, 0.3, 0, MOST);
+    seen += n >= 0;
+    worst = MAX(worst, n);
+  }
+  if (seen < TRIALS * 95 / 100) breach(f, "harm was seen in only %d of %d trials", seen, TRIALS);
+  if (worst > 200) breach(f, "harm was seen only after %d requests", worst);
+  if (getenv("SIM_COUNT")) fprintf(stderr, "  of %d: %d false alarms, harm seen in %d, after %d at the latest\n", TRIALS, alarms, seen, worst);
+  if (canary_bound(0, 0, 0.05, true) != 1 || canary_bound(0, 0, 0.05, false) != 0) breach(f, "nothing is known, and yet there is a bound");
+  if (!(canary_bound(10, 100, 0.05, false) < 0.1 && canary_bound(10, 100, 0.05, true) > 0.1 && canary_bound(10, 100, 0.01, true) > canary_bound(10, 100, 0.05, true))) breach(f, "the bounds lie wrong");
+  return !f->faults->len;
+}
+
+static int seen(gw *g, const char *word) {
+  bool is = strstr(g->f->faults->str, word) != NULL;
+  if (!is) fprintf(stderr, "  %s was not seen\n", word);
+  g_string_truncate(g->f->faults, 0);
+  return is;
+}
+
+static bool trial_checkers_can_fail(fleet *f) {
+  gw *g = gw_new(f, 4, 2);
+  if (!gw_up(g)) return gw_done(g, 0);
+  gw_go(g, 1.2);
+  tick at = { 0 };
+  if (!begin_trial(g, "plant", 0.5, harmless, 3, 25, 20)) return gw_done(g, 0);
+  ends(g, "no harm", 40000, &at);
+  sim_run(g->s, t_ms(5000));
+  gw_quiet(g);
+  gate_sides(g);
+  gate_returned(g, "plant", at);
+  gate_dropped(g, at);
+  if (f->faults->len) return gw_done(g, 0);
+  em_run *c = NULL, *o = NULL, *last = NULL;
+  for (guint i = 0; i < g->log->runs->len; i++) {
+    em_run *r = g->log->runs->pdata[i];
+    if (g_str_has_suffix(r->policy, " candidate")) c = r;
+    if (!r->policy[0] && r->came.us > at.us + 3000000 && strchr("rdfcbt", r->how)) last = r;
+  }
+  for (guint i = 0; c && i < g->log->runs->len; i++) {
+    em_run *r = g->log->runs->pdata[i];
+    if (g_str_has_suffix(r->policy, " old") && r->came.us < c->came.us - 5000000) o = r;
+  }
+  if (!c || !o || !last) { breach(f, "there is nothing to plant"); return gw_done(g, 0); }
+  int shown = 0;
+  char session[48];
+  /* a session of the candidate that the old policy had long before */
+  g_strlcpy(session, o->session, sizeof session);
+  g_strlcpy(o->session, c->session, sizeof o->session);
+  gate_sides(g); shown += seen(g, "SIDES");
+  g_strlcpy(o->session, session, sizeof session);
+  /* one request under two policies */
+  em_run *two = g_memdup2(c, sizeof *c);
+  g_strlcpy(two->policy, "plant old", sizeof two->policy);
+  g_ptr_array_add(g->log->runs, two);
+  gate_sides(g); shown += seen(g, "SIDES");
+  g_strlcpy(two->policy, "plant both", sizeof two->policy);
+  two->request[0] = 0;
+  g_strlcpy(two->request, last->request, sizeof two->request);
+  gate_sides(g); shown += seen(g, "SIDES");
+  g_ptr_array_set_size(g->log->runs, (int)g->log->runs->len - 1);
+  g_strlcpy(last->policy, "plant candidate", sizeof last->policy);
+  gate_returned(g, "plant", at); shown += seen(g, "RETURN");
+  last->policy[0] = 0;
+  em_try *y = NULL;
+  for (guint i = 0; i < g->c->tries->len && !y; i++) { em_try *k = g->c->tries->pdata[i]; if (k->how == 'd' && k->to.us > k->sent.us) y = k; }
+  y->how = 'e';
+  gate_dropped(g, y->sent); shown += seen(g, "DROPPED");
+  y->how = 'd';
+  if (shown != 5) breach(f, "only %d of 5 breaches were seen", shown);
+  return gw_done(g, 0);
+}
+
+const story canary_stories[] = {
+  { "trials_are_compiled", trials_are_compiled, 1, 1, 17 }, { "a_guard_seldom_errs_and_sees_harm", a_guard_seldom_errs_and_sees_harm, 1, 1, 50 },
+  { "no_trial_leaves_no_trace", no_trial_leaves_no_trace, 3, 0, 34 }, { "trial_checkers_can_fail", trial_checkers_can_fail, 3, 0, 20 },
+  { "a_harmless_trial_runs_its_time", a_harmless_trial_runs_its_time, 4, 0, 100 }, { "a_harmful_trial_ends_itself", a_harmful_trial_ends_itself, 4, 0, 100 },
+  { "the_judge_dies_in_a_trial", the_judge_dies_in_a_trial, 5, 0, 100 }, { "nodes_restart_in_a_trial", nodes_restart_in_a_trial, 4, 0, 100 },
+  { "a_node_is_cut_off_in_a_trial", a_node_is_cut_off_in_a_trial, 5, 0, 100 }, { "the_judge_hears_nobody", the_judge_hears_nobody, 5, 0, 100 },
+  { "operators_start_stop_and_race_trials", operators_start_stop_and_race_trials, 4, 0, 100 },
+  { "sessions_keep_their_policy_through_tries", sessions_keep_their_policy_through_tries, 4, 0, 100 },
+  { NULL, NULL, 0, 0, 0 } };
