--- a/lib/gate/canary.c
+++ b/lib/gate/canary.c
@@ -177,6 +177,8 @@
     if (canary_count(&x) >= canary_count(c)) *c = x;
   }
   for (size_t i = 0; i < q->n_elders; i++) elders_add(&j->elders, q->elders[i]);
+  /* under a judge before this one it began already */
+  if (q->open && !(j->open_at.us && t_past(now_of(g), j->open_at))) j->open_at = now_of(g);
   if (!j->open_at.us && most(g, heard_now(g, j, true))) j->open_at = t_add(now_of(g), t_ms(OPEN_MS));
 }
 
@@ -240,6 +242,7 @@
   q.version = version; q.epoch = c->epoch; q.known = c->known;
   q.agems = (uint64_t)t_sub(now_of(g), c->from).us / 1000;
   q.warm = q.agems >= (uint64_t)c->plan.warm_ms;
+  q.open = c->open_at.us && t_past(now_of(g), c->open_at);
   q.cells = at;
   for (int s = 0; s < SIDES; s++)
     for (unsigned p = 0; p < CANARY_PRIORITIES; p++) {
--- a/tests/canary.c
+++ b/tests/canary.c
@@ -14,6 +14,12 @@
   return g_strdup_printf("{\"name\":\"%s\",\"share\":%g,\"candidate\":%s,\"warmS\":%g,\"guard\":{\"least\":%d,\"mostS\":%g}}", name, share, candidate, warm, least, most);
 }
 
+/* many callers, who come again now and then, so that sessions begin all the time */
+static void busy(gw *g, double rate) {
+  g->c->users = 500;
+  gw_go(g, rate);
+}
+
 /* writes by any mast; says the status, and looks for a code in the answer */
 static int put(gw *g, const char *verb, const char *text, int code) {
   op_call *c = fleet_call(g->f, g->f->mast[sim_draw(g->s, (uint64_t)g->f->masts)], verb, "/v1/canary", text, NULL, NULL, t_ms(9000));
@@ -98,7 +104,7 @@
 static bool a_harmless_trial_runs_its_time(fleet *f) {
   gw *g = gw_new(f, 5, 2);
   if (!gw_up(g)) return gw_done(g, 0);
-  gw_go(g, 1.2);
+  busy(g, 1.2);
   tick began = g->s->now, at = { 0 };
   if (!begin_trial(g, "calm", 0.4, harmless, 4, 40, 30)) return gw_done(g, 0);
   ends(g, "no harm", 60000, &at);
@@ -113,7 +119,7 @@
 static bool a_harmful_trial_ends_itself(fleet *f) {
   gw *g = gw_new(f, 5, 2);
   if (!gw_up(g)) return gw_done(g, 0);
-  gw_go(g, 2);
+  busy(g, 6);
   tick at = { 0 };
   if (!begin_trial(g, "harm", 0.4, harmful, 4, 300, 20)) return gw_done(g, 0);
   if (!ends(g, "harm", 120000, &at)) return over(g, "harm", at, 0);
@@ -134,7 +140,7 @@
 static bool the_judge_dies_in_a_trial(fleet *f) {
   gw *g = gw_new(f, 5, 2);
   if (!gw_up(g)) return gw_done(g, 0);
-  gw_go(g, 2);
+  busy(g, 6);
   tick at = { 0 };
   if (!begin_trial(g, "orphan", 0.4, harmful, 4, 300, 60)) return gw_done(g, 0);
   sim_run(g->s, t_ms(8000));
@@ -153,7 +159,7 @@
 static bool nodes_restart_in_a_trial(fleet *f) {
   gw *g = gw_new(f, 5, 2);
   if (!gw_up(g)) return gw_done(g, 0);
-  gw_go(g, 1.2);
+  busy(g, 1.2);
   tick at = { 0 };
   if (!begin_trial(g, "restarts", 0.4, harmless, 4, 45, 30)) return gw_done(g, 0);
   sim_run(g->s, t_ms(9000));
@@ -173,7 +179,7 @@
 static bool a_node_is_cut_off_in_a_trial(fleet *f) {
   gw *g = gw_new(f, 5, 2);
   if (!gw_up(g)) return gw_done(g, 0);
-  gw_go(g, 1.5);
+  busy(g, 1.5);
   tick at = { 0 };
   if (!begin_trial(g, "cut", 0.5, harmless, 3, 200, 50)) return gw_done(g, 0);
   sim_run(g->s, t_ms(10000));
@@ -211,7 +217,7 @@
 static bool the_judge_hears_nobody(fleet *f) {
   gw *g = gw_new(f, 5, 2);
   if (!gw_up(g)) return gw_done(g, 0);
-  gw_go(g, 1);
+  busy(g, 1);
   tick at = { 0 };
   if (!begin_trial(g, "deaf", 0.5, harmless, 3, 200, 50)) return gw_done(g, 0);
   sim_run(g->s, t_ms(9000));
@@ -229,7 +235,7 @@
 static bool operators_start_stop_and_race_trials(fleet *f) {
   gw *g = gw_new(f, 5, 2);
   if (!gw_up(g)) return gw_done(g, 0);
-  gw_go(g, 1);
+  busy(g, 1);
   char *a = trial_text("ours", 0.5, harmless, 3, 300, 50), *b = trial_text("theirs", 0.5, harmless, 3, 300, 50);
   op_call *x = fleet_send(f, f->mast[0], "PUT", "/v1/canary", a, NULL, NULL), *y = fleet_send(f, f->mast[1], "PUT", "/v1/canary", b, NULL, NULL);
   while (!x->done || !y->done) sim_run(g->s, t_ms(50));
@@ -256,7 +262,7 @@
 static bool sessions_keep_their_policy_through_tries(fleet *f) {
   gw *g = gw_new(f, 4, 2);
   if (!gw_up(g)) return gw_done(g, 0);
-  gw_go(g, 1.2);
+  busy(g, 1.2);
   tick at = { 0 };
   if (!begin_trial(g, "tries", 0.5, harmless, 4, 40, 500)) return gw_done(g, 0);
   sim_run(g->s, t_ms(8000));
@@ -361,7 +367,7 @@
 static bool trial_checkers_can_fail(fleet *f) {
   gw *g = gw_new(f, 4, 2);
   if (!gw_up(g)) return gw_done(g, 0);
-  gw_go(g, 1.2);
+  busy(g, 1.2);
   tick at = { 0 };
   if (!begin_trial(g, "plant", 0.5, harmless, 3, 25, 20)) return gw_done(g, 0);
   ends(g, "no harm", 40000, &at);
