--- a/tests/canary.c
+++ b/tests/canary.c
@@ -158,6 +158,36 @@
   return over(g, "orphan", at, 0.5);
 }
 
+static bool judged(sim *s, void *p) { (void)s; return judge_of(p) != NULL; }
+
+static bool a_trial_goes_on_under_a_new_judge(fleet *f) {
+  gw *g = gw_new(f, 5, 2);
+  if (!gw_up(g)) return gw_done(g, 0);
+  busy(g, 1);
+  tick at = { 0 };
+  if (!begin_trial(g, "heir", 0.5, harmless, 3, 200, 500)) return gw_done(g, 0);
+  sim_run(g->s, t_ms(9000));
+  unit *u = judge_of(g);
+  if (!u) { breach(f, "nobody judges"); return over(g, "heir", at, 0); }
+  gw_trouble(g, u->h, 'k', 9000);
+  host_kill(u->h);
+  sim_run(g->s, t_ms(3000));
+  host_start(u->h);
+  if (!sim_until(g->s, judged, g, t_ms(15000))) breach(f, "nobody takes the judge's place");
+  sim_run(g->s, t_ms(2000));
+  /* no node waits for a second beginning, not even the one that forgot the first */
+  for (int i = 0; i < f->vanes; i++) {
+    GString *b = g_string_new(NULL);
+    canary_metrics(g->gates[i]->gate, b);
+    if (!strstr(b->str, "asterfall_canary_on 1\n")) breach(f, "the trial is not on at %s", f->vane[i]->self.s);
+    g_string_free(b, TRUE);
+  }
+  json *j = stands(g);
+  if (verdict(j)[0]) breach(f, "the trial ended with its judge");
+  json_free(j);
+  return over(g, "heir", at, 0.85);
+}
+
 static bool nodes_restart_in_a_trial(fleet *f) {
   gw *g = gw_new(f, 5, 2);
   if (!gw_up(g)) return gw_done(g, 0);
@@ -529,7 +559,7 @@
   { "a_harmless_trial_runs_its_time", a_harmless_trial_runs_its_time, 4, 0, 100 }, { "a_harmful_trial_ends_itself", a_harmful_trial_ends_itself, 4, 0, 100 },
   { "the_judge_dies_in_a_trial", the_judge_dies_in_a_trial, 5, 0, 100 }, { "nodes_restart_in_a_trial", nodes_restart_in_a_trial, 4, 0, 100 },
   { "a_node_is_cut_off_in_a_trial", a_node_is_cut_off_in_a_trial, 5, 0, 100 }, { "the_judge_hears_nobody", the_judge_hears_nobody, 5, 0, 100 },
-  { "a_guard_counts_each_request_once", a_guard_counts_each_request_once, 4, 0, 100 }, { "only_the_judge_ends_a_trial", only_the_judge_ends_a_trial, 4, 0, 100 }, { "a_judge_freezes_and_wakes", a_judge_freezes_and_wakes, 5, 0, 100 },
+  { "a_guard_counts_each_request_once", a_guard_counts_each_request_once, 4, 0, 100 }, { "a_trial_goes_on_under_a_new_judge", a_trial_goes_on_under_a_new_judge, 5, 0, 100 }, { "only_the_judge_ends_a_trial", only_the_judge_ends_a_trial, 4, 0, 100 }, { "a_judge_freezes_and_wakes", a_judge_freezes_and_wakes, 5, 0, 100 },
   { "operators_start_stop_and_race_trials", operators_start_stop_and_race_trials, 4, 0, 100 },
   { "sessions_keep_their_policy_through_tries", sessions_keep_their_policy_through_tries, 4, 0, 100 },
   { NULL, NULL, 0, 0, 0 } };
