--- a/lib/gate/canary.c
+++ b/lib/gate/canary.c
@@ -19,14 +19,14 @@
   uint64_t list;            /* of the judge that was heard last; it has the first `sent` of ours, and we `known` of its own */
   size_t sent, known;
   id judge;
-  bool was_on;
+  bool was_on, young;       /* young: this run found the trial when it came up, and others may be on with it */
 } canary;
 
 /** What a judge has heard of one run of one node. */
-typedef struct heard_of { uint64_t nonce; id who; tick at; uint64_t age_ms; bool warm; canary_totals t; } heard_of;
+typedef struct heard_of { uint64_t nonce; id who; tick at; uint64_t age_ms; bool warm, whole; canary_totals t; } heard_of;
 /** A trial as its judge sees it, under one epoch. Its list of elders has a number of its own: a judge whose duty lapsed
  *  and came back knows nothing any more, and has the same epoch. */
-struct canary_judge { uint64_t version, epoch, list; GArray *nodes; elder_set elders; tick from, open_at, deaf; canary_finding last; };
+struct canary_judge { bool began; uint64_t version, epoch, list; GArray *nodes; elder_set elders; tick from, open_at, deaf; canary_finding last; };
 typedef struct canary_judge canary_judge_t;
 
 static void elders_init(elder_set *s) {
@@ -113,7 +113,7 @@
   bool on = is_on(g);
   if (!canary_drawn(&c->plan, session)) return (canary_part){ c->version, SIDE_OLD, on };
   if (on && !g_hash_table_contains(c->elders.at, &session)) return (canary_part){ c->version, SIDE_CANDIDATE, true };
-  if (elders_add(&c->elders, session) && c->open_at.us) tell_elder(g, session);
+  if (elders_add(&c->elders, session) && (c->open_at.us || c->young)) tell_elder(g, session);
   return (canary_part){ c->version, SIDE_OLD, false };
 }
 
@@ -153,7 +153,7 @@
   int n = 0;
   for (guint i = 0; i < j->nodes->len; i++) {
     const heard_of *h = &g_array_index(j->nodes, heard_of, i);
-    n += within(g, h->at, HEARD_MS) && (!warm || h->warm);
+    n += within(g, h->at, HEARD_MS) && (!warm || (h->warm && h->whole));
   }
   return n;
 }
@@ -180,9 +180,11 @@
     if (canary_count(&x) >= canary_count(c)) *c = x;
   }
   for (size_t i = 0; i < q->n_elders; i++) elders_add(&j->elders, q->elders[i]);
-  /* under a judge before this one it began already */
-  if (q->open && !(j->open_at.us && t_past(now_of(g), j->open_at))) j->open_at = now_of(g);
-  if (!j->open_at.us && most(g, heard_now(g, j, true))) j->open_at = t_add(now_of(g), t_ms(OPEN_MS));
+  /* what was sent before it knew this list was meant for another */
+  h->whole |= q->list == j->list && !q->more;
+  /* under a judge before this one it began already; but only with all elders may a node begin */
+  j->began |= q->open;
+  if (!j->open_at.us && most(g, heard_now(g, j, true))) j->open_at = t_add(now_of(g), t_ms(j->began ? 0 : OPEN_MS));
 }
 
 static void fill_back(gate *g, canary_judge_t *j, const Wire__CanaryReport *q, Wire__CanaryReportBack *b) {
@@ -260,6 +262,7 @@
     }
   uint64_t *own;
   q.n_elders = chunk(&c->elders, c->sent, &own);
+  q.more = c->sent + q.n_elders < c->elders.list->len;
   uint64_t *copy = g_memdup2(own, sizeof(uint64_t) * q.n_elders);
   q.elders = copy;
   size_t sent = c->sent + q.n_elders;
@@ -395,6 +398,7 @@
   n->plan = *p;
   n->version = version;
   n->from = now_of(g);
+  n->young = g->v->newsCount <= 1;
   elders_init(&n->elders);
   say(&g->v->s.log, "canary", "The trial %s is declared for a share of %.3f.", p->name.s, p->share);
   watch *w = g_new(watch, 1);
