--- a/lib/gate/gate.h
+++ b/lib/gate/gate.h
@@ -124,6 +124,7 @@
   tick spare_load;          /* when this node last began a load without the pacer's ticket */
   struct canary *canary;    /* the trial that runs; NULL without one */
   struct canary_judge *judge;   /* at its judge */
+  GHashTable *rates_whole;  /* of a large fleet: what a key's collector says of the whole */
   GHashTable *rates_told;   /* key -> int64_t: totals that the others have */
 } gate;
 
