--- a/tests/canary.c
+++ b/tests/canary.c
@@ -188,6 +188,74 @@
   return over(g, "heir", at, 0.85);
 }
 
+/* the sessions that a node keeps with the old policy; -1 when the trial is not on there */
+static int elders_at(gw *g, int i) {
+  if (!g->gates[i]->gate || !g->f->vane[i]->alive) return -1;
+  GString *b = g_string_new(NULL);
+  canary_metrics(g->gates[i]->gate, b);
+  const char *n = strstr(b->str, "asterfall_canary_elders ");
+  int is = n && strstr(b->str, "asterfall_canary_on 1\n") ? atoi(n + strlen("asterfall_canary_elders ")) : -1;
+  g_string_free(b, TRUE);
+  return is;
+}
+
+static bool a_judge_forgets_and_judges_on(fleet *f) {
+  gw *g = gw_new(f, 5, 2);
+  if (!gw_up(g)) return gw_done(g, 0);
+  busy(g, 2);
+  tick at = { 0 };
+  if (!begin_trial(g, "forgets", 0.5, harmless, 4, 200, 2000)) return gw_done(g, 0);
+  sim_run(g->s, t_ms(12000));
+  unit *u = judge_of(g);
+  if (!u) { breach(f, "nobody judges"); return over(g, "forgets", at, 0); }
+  int it = 0, other = 0;
+  for (int i = 0; i < f->vanes; i++) if (g->gates[i] == u) it = i;
+  other = (it + 1) % f->vanes;
+  int known = elders_at(g, other);
+  if (known < 20) breach(f, "only %d elders: this shows nothing", known);
+  /* a new run of it has its duty again at once, and knows nothing: it must hear of them before it begins itself */
+  gw_trouble(g, u->h, 'k', 6000);
+  host_kill(u->h);
+  sim_run(g->s, t_ms(50));
+  host_start(u->h);
+  bool on = false;
+  for (int i = 0; i < 700 && !on; i++) {
+    sim_run(g->s, t_ms(10));
+    int n = elders_at(g, it);
+    on = n >= 0;
+    if (on && n < known) breach(f, "it begins with %d elders, and the others have %d", n, known);
+  }
+  if (!on) breach(f, "the trial did not go on at %s", u->h->self.s);
+  sim_run(g->s, t_ms(3000));
+  /* its contract lapses while it is frozen, and comes back under the same epoch: it must learn anew, and so must another's new run */
+  unit *j = judge_of(g);
+  if (!j) { breach(f, "nobody judges"); return over(g, "forgets", at, 0); }
+  for (int i = 0; i < f->vanes; i++) if (g->gates[i] == j) it = i;
+  other = (it + 1) % f->vanes;
+  gw_trouble(g, j->h, 'f', 8000);
+  uint64_t epoch = duty_epoch(j->h->va, "canary");
+  host_freeze(j->h);
+  sim_run(g->s, t_ms(3200));
+  host_wake(j->h);
+  sim_run(g->s, t_ms(3000));
+  if (g_getenv("SIM_COUNT")) fprintf(stderr, "  epoch %" PRIu64 " before, %" PRIu64 " after\n", epoch, judge_of(g) ? duty_epoch(judge_of(g)->h->va, "canary") : 0);
+  int third = (it + 2) % f->vanes;
+  known = elders_at(g, third);
+  gw_trouble(g, f->vane[other], 'k', 6000);
+  host_kill(f->vane[other]);
+  sim_run(g->s, t_ms(500));
+  host_start(f->vane[other]);
+  on = false;
+  for (int i = 0; i < 700 && !on; i++) {
+    sim_run(g->s, t_ms(10));
+    int n = elders_at(g, other);
+    on = n >= 0;
+    if (on && n < known) breach(f, "a new run begins with %d elders, and the others have %d", n, known);
+  }
+  if (!on) breach(f, "the trial did not go on at %s", f->vane[other]->self.s);
+  return over(g, "forgets", at, 0.7);
+}
+
 static bool nodes_restart_in_a_trial(fleet *f) {
   gw *g = gw_new(f, 5, 2);
   if (!gw_up(g)) return gw_done(g, 0);
@@ -610,7 +678,7 @@
   { "a_harmless_trial_runs_its_time", a_harmless_trial_runs_its_time, 4, 0, 100 }, { "a_harmful_trial_ends_itself", a_harmful_trial_ends_itself, 4, 0, 100 },
   { "the_judge_dies_in_a_trial", the_judge_dies_in_a_trial, 5, 0, 100 }, { "nodes_restart_in_a_trial", nodes_restart_in_a_trial, 4, 0, 100 },
   { "a_node_is_cut_off_in_a_trial", a_node_is_cut_off_in_a_trial, 5, 0, 100 }, { "the_judge_hears_nobody", the_judge_hears_nobody, 5, 0, 100 },
-  { "a_guard_counts_each_request_once", a_guard_counts_each_request_once, 4, 0, 100 }, { "a_trial_goes_on_under_a_new_judge", a_trial_goes_on_under_a_new_judge, 5, 0, 100 }, { "anything_happens_in_a_trial", anything_happens_in_a_trial, 5, 0, 200 }, { "only_the_judge_ends_a_trial", only_the_judge_ends_a_trial, 4, 0, 100 }, { "a_judge_freezes_and_wakes", a_judge_freezes_and_wakes, 5, 0, 100 },
+  { "a_guard_counts_each_request_once", a_guard_counts_each_request_once, 4, 0, 100 }, { "a_trial_goes_on_under_a_new_judge", a_trial_goes_on_under_a_new_judge, 5, 0, 100 }, { "anything_happens_in_a_trial", anything_happens_in_a_trial, 5, 0, 200 }, { "a_judge_forgets_and_judges_on", a_judge_forgets_and_judges_on, 5, 0, 100 }, { "only_the_judge_ends_a_trial", only_the_judge_ends_a_trial, 4, 0, 100 }, { "a_judge_freezes_and_wakes", a_judge_freezes_and_wakes, 5, 0, 100 },
   { "operators_start_stop_and_race_trials", operators_start_stop_and_race_trials, 4, 0, 100 },
   { "sessions_keep_their_policy_through_tries", sessions_keep_their_policy_through_tries, 4, 0, 100 },
   { NULL, NULL, 0, 0, 0 } };
