News bring changes of the routing as deltas to the version that a node holds

Ruled out: patches as the operator sent them (a whole configuration comes too, and versions may be skipped).

--- a/lib/mast/mast.c
+++ b/lib/mast/mast.c
@@ -1,4 +1,5 @@
 #include "mast.h"
+#include "delta.h"
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -167,6 +168,34 @@
   return OK;
 }
 
+/* keeps the routing texts of late, so that a node that holds one of them is sent only what changed */
+static void past_note(mast *m) {
+  const state *t = &m->c.held;
+  uint64_t version = t->res[RES_ROUTING].version;
+  if (!version) return;
+  for (int i = 0; i < PAST_TEXTS; i++) if (m->past[i].version == version) return;
+  past_text *p = &m->past[m->pastAt++ % PAST_TEXTS];
+  if (!p->text) { p->text = g_string_new(NULL); p->delta = g_string_new(NULL); }
+  p->version = version;
+  p->to = 0;
+  g_string_assign(p->text, t->res[RES_ROUTING].text->str);
+}
+
+static str past_delta(mast *m, uint64_t base) {
+  const state *t = &m->c.held;
+  for (int i = 0; base && i < PAST_TEXTS; i++) {
+    past_text *p = &m->past[i];
+    if (p->version != base || base == t->res[RES_ROUTING].version) continue;
+    if (p->to != t->res[RES_ROUTING].version) {
+      p->to = t->res[RES_ROUTING].version;
+      g_string_truncate(p->delta, 0);
+      if (!delta_make(str_g(p->text), str_g(t->res[RES_ROUTING].text), p->delta)) g_string_truncate(p->delta, 0);
+    }
+    return str_g(p->delta);
+  }
+  return (str){ NULL, 0 };
+}
+
 static int on_news(void *ctx, Wire__Envelope *in, reply *o, err *e) {
   mast *m = ctx;
   core *c = &m->c;
@@ -177,6 +206,7 @@
     if (!engines) return err_set(e, E_VIEW, "another fleet");
     knows = false;
   }
+  past_note(m);
   /* a read that knows more than this copy mends it at once */
   if (knows && q->seq > c->held.seq) bell_ring(&c->work);
   tick till = t_add(w_now(m->s.w), t_ms(m->s.v.loose ? POLL_LOOSE_MS : POLL_MS));
@@ -200,7 +230,10 @@
   b->news = c->held.seq > q->seq || !q->seq;
   if (b->news) {
     GString *d = g_string_new(NULL);
-    state_news(&c->held, c->now.epoch, q->held, q->n_held, d);
+    past_note(m);
+    uint64_t base = q->deltas && q->n_held > RES_ROUTING ? q->held[RES_ROUTING] : 0;
+    str delta = past_delta(m, base);
+    state_news_delta(&c->held, c->now.epoch, q->held, q->n_held, base, delta, d);
     b->digest.len = d->len;
     b->digest.data = reply_hold(o, d->len + 1);
     memcpy(b->digest.data, d->str, d->len);
@@ -571,6 +604,7 @@
 }
 
 void mast_free(mast *m) {
+  for (int i = 0; i < PAST_TEXTS; i++) if (m->past[i].text) { g_string_free(m->past[i].text, TRUE); g_string_free(m->past[i].delta, TRUE); }
   core_free(&m->c);
   g_hash_table_destroy(m->have);
   g_hash_table_destroy(m->giving);
--- a/lib/mast/state.c
+++ b/lib/mast/state.c
@@ -72,7 +72,7 @@
 
 const grant *state_grant(const state *t, const char *duty) { return g_hash_table_lookup(t->grants, duty); }
 
-static void pack(const state *t, uint64_t epoch, bool keys, const uint64_t *held, size_t have, GString *to) {
+static void pack(const state *t, uint64_t epoch, bool keys, const uint64_t *held, size_t have, uint64_t base, str delta, GString *to) {
   Wire__Digest d = WIRE__DIGEST__INIT;
   Wire__Res res[RES_COUNT], *resp[RES_COUNT];
   guint n = g_hash_table_size(t->grants), i = 0, k = keys ? t->once.length : 0;
@@ -84,7 +84,8 @@
     res[r].name = (char *)res_name[r];
     res[r].version = t->res[r].version;
     res[r].same = (size_t)r < have && held[r] && held[r] == t->res[r].version;
-    if (!res[r].same) { res[r].text.data = (uint8_t *)t->res[r].text->str; res[r].text.len = t->res[r].text->len; }
+    if (r == RES_ROUTING && delta.n && !res[r].same) { res[r].since = base; res[r].delta.data = (uint8_t *)delta.p; res[r].delta.len = delta.n; }
+    else if (!res[r].same) { res[r].text.data = (uint8_t *)t->res[r].text->str; res[r].text.len = t->res[r].text->len; }
     resp[r] = &res[r];
   }
   GHashTableIter it;
@@ -112,8 +113,9 @@
   g_free(gs); g_free(gp); g_free(os); g_free(op);
 }
 
-void state_pack(const state *t, uint64_t epoch, GString *to) { pack(t, epoch, true, NULL, 0, to); }
-void state_news(const state *t, uint64_t epoch, const uint64_t *held, size_t n, GString *to) { pack(t, epoch, false, held, n, to); }
+void state_pack(const state *t, uint64_t epoch, GString *to) { pack(t, epoch, true, NULL, 0, 0, (str){ NULL, 0 }, to); }
+void state_news(const state *t, uint64_t epoch, const uint64_t *held, size_t n, GString *to) { pack(t, epoch, false, held, n, 0, (str){ NULL, 0 }, to); }
+void state_news_delta(const state *t, uint64_t epoch, const uint64_t *held, size_t n, uint64_t base, str delta, GString *to) { pack(t, epoch, false, held, n, base, delta, to); }
 
 size_t state_size(const state *t) {
   size_t n = 256 + (sizeof(grant) + 32) * g_hash_table_size(t->grants) + (sizeof(once) + 32) * (t->once.length + 1);
--- a/lib/mast/state.h
+++ b/lib/mast/state.h
@@ -28,6 +28,8 @@
 void state_pack(const state *t, uint64_t epoch, GString *to);
 /** The same for a data-plane node: no record of past keys, and no text of a resource that it holds in this version. */
 void state_news(const state *t, uint64_t epoch, const uint64_t *held, size_t n, GString *to);
+/** The same, with the routing as a delta to the version that the node holds. */
+void state_news_delta(const state *t, uint64_t epoch, const uint64_t *held, size_t n, uint64_t base, str delta, GString *to);
 /** The most bytes that it takes as a digest, by a generous count. */
 size_t state_size(const state *t);
 /** A sum over the whole state, the same on every sound copy. */
--- a/lib/vane/news.c
+++ b/lib/vane/news.c
@@ -1,5 +1,7 @@
 #include "vane.h"
+#include "delta.h"
 #include "routing.h"
+#include <stdlib.h>
 
 enum { ASK_MS = 900, ASK_LOOSE_MS = 1500, SILENT_MS = 2000, PEER_EACH_MS = 500, CALM_MS = 50, CALM_LOOSE_MS = 100, STALE_MS = 1500 };
 
@@ -82,6 +84,15 @@
     /* no trial was ever declared, or the core machine is of a version that knows of none */
     if (!part[k] && k == RES_CANARY) continue;
     if (!part[k] || (part[k]->same && part[k]->version != v->resAt[k])) { memset(v->resAt, 0, sizeof v->resAt); ok = false; break; }
+    if (part[k]->delta.len) {
+      /* only what changed came; where it does not fit what is held here, the whole is asked for next */
+      GString *whole = g_string_new(NULL);
+      ok = part[k]->since == v->resAt[k] && delta_apply(str_g(v->res[k]), (str){ (char *)part[k]->delta.data, part[k]->delta.len }, whole);
+      if (!ok) { memset(v->resAt, 0, sizeof v->resAt); g_string_free(whole, TRUE); break; }
+      free(part[k]->text.data);
+      part[k]->text.len = whole->len;
+      part[k]->text.data = (uint8_t *)g_string_free(whole, FALSE);
+    }
     /* what is compiled already is left as it is */
     if (k == RES_ROUTING && part[k]->version == v->resAt[k]) continue;
     ok = (j[k] = json_read(part[k]->same ? str_g(v->res[k]) : (str){ (char *)part[k]->text.data, part[k]->text.len }, &e)) != NULL;
@@ -156,6 +167,7 @@
   n.epoch = v->epoch; n.seq = v->seq; n.fleet = v->fleet; n.n_held = v->resAt[RES_CANARY] ? RES_COUNT : RES_CANARY; n.held = v->resAt;
   n.listage = v->listKnown ? (uint64_t)t_sub(now, v->listAt).us / 1000 + 1 : 0;
   n.engines = core && v->on_engines;
+  n.deltas = core;
   if (n.engines) { engines_of(v, addr); n.enginerun = v->engineRun; n.engineseq = v->engineSeq; }
   Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_NEWS, &n), *b;
   err e = { 0 };
