--- /dev/null
+++ b/tests/placement.c
@@ -0,0 +1,210 @@
+#include "gateway.h"
+#include "stories.h"
+#include <stdio.h>
+
+/* stories of placement: given engines that hold this and that, when loads are asked for or holders change, then engines get
+   the orders that they should, in the order that they should */
+
+/* one load that is asked of an engine's holder until it is done, as a coordinator does; again: it never ends */
+typedef struct load { gw *g; unit *at, *from; id model, adapter; bool again, done; uint64_t most; int code; tick up_at; } load;
+
+static unit *holder_of(gw *g, const char *duty) {
+  for (int i = 0; i < g->f->vanes; i++) if (g->gates[i]->h->alive && g->gates[i]->gate && duty_epoch(g->gates[i]->gate->v, duty)) return g->gates[i];
+  return NULL;
+}
+
+static unit *engine_holder(gw *g, const unit *e) {
+  char duty[64];
+  duty_engine(duty, sizeof duty, e->e->self);
+  return holder_of(g, duty);
+}
+
+static void load_run(void *p) {
+  load *l = p;
+  vane *v = l->from->gate->v;
+  do {
+    unit *to = engine_holder(l->g, l->at);
+    Wire__Place q = WIRE__PLACE__INIT;
+    q.engine = l->at->e->self.s; q.service = "llm"; q.model = l->model.s; q.adapter = l->adapter.s; q.priority = 1; q.wait = 800; q.costmost = l->most;
+    Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_PLACE, &q), *b;
+    err x = { 0 };
+    int r = to ? site_call(&v->s, to->h->addr, &m, t_ms(1300), &b, &x) : E_HOLDER;
+    if (r == E_DEAD) return;
+    if (to && !r) r = b->body_case == WIRE__ENVELOPE__BODY_PLACEBACK ? (int)b->placeback->code : E_WIRE;
+    if (to) site_done(b);
+    if (r == E_WAIT) continue;
+    l->code = r;
+    if (!r && !l->up_at.us) l->up_at = w_now(v->s.w);
+    if (!l->again && (!r || l->most)) break;
+  } while (w_nap(v->s.w, t_ms(100)));
+  l->done = true;
+}
+
+static load *load_ask(gw *g, unit *from, unit *at, const char *model, const char *adapter, bool again) {
+  load *l = g_new0(load, 1);
+  *l = (load){ .g = g, .at = at, .from = from, .model = id_c(model), .adapter = id_c(adapter), .again = again };
+  g_ptr_array_add(g->enders, l);
+  task_start(&from->h->w.tasks, "load", load_run, l);
+  return l;
+}
+
+static bool load_done(sim *s, void *p) { (void)s; return ((load *)p)->done; }
+
+static void holds_first(unit *u, const char *a, const char *b) {
+  g_ptr_array_set_size(u->start, 0);
+  if (a) g_ptr_array_add(u->start, (char *)a);
+  if (b) g_ptr_array_add(u->start, (char *)b);
+}
+
+/* what a node hears of demand for a key elsewhere, and doesn't tell on */
+static void heard(unit *u, const char *key, uint64_t total, uint64_t window) { history_heard(&u->gate->v->h, 99, key, total, window); }
+
+/* orders that were taken since a count of them: "-m0 +m6 " */
+static GString *orders_since(gw *g, guint from, const unit *e) {
+  GString *t = g_string_new(NULL);
+  for (guint k = from; k < g->log->orders->len; k++) {
+    em_order *o = g->log->orders->pdata[k];
+    if (o->status == 202 && id_eq(o->engine, e->e->self)) g_string_append_printf(t, "%c%s%s%s ", o->op == 'l' ? '+' : '-', o->model.s, id_none(o->adapter) ? "" : "/", o->adapter.s);
+  }
+  return t;
+}
+
+static double rate_at(unit *u, const char *key) { return history_rate(&u->gate->v->h, key); }
+
+static bool rates_reach_newcomers(fleet *f) {
+  gw *g = gw_new(f, 2, 1);
+  if (!gw_up(g)) return gw_done(g, 0);
+  /* given demand that three gateways saw, and that is told */
+  for (int i = 0; i < 3; i++) for (int k = 0; k < 10; k++) history_add(&g->gates[i]->gate->v->h, (entry){ EV_ROUTED, { 0 }, id_c(""), id_c("m0"), id_c(""), 0 });
+  sim_run(g->s, t_ms(2500));
+  if (rate_at(g->gates[3], "m0") < 1.4) breach(f, "a gateway hears %.2f a second of what the others saw", rate_at(g->gates[3], "m0"));
+  /* when the fourth starts anew, and nothing else is asked for */
+  host_kill(g->gates[3]->h);
+  sim_run(g->s, t_ms(500));
+  host_start(g->gates[3]->h);
+  sim_run(g->s, t_ms(3000));
+  /* then it knows what was asked for before it came */
+  if (rate_at(g->gates[3], "m0") < 1.4) breach(f, "a gateway that started anew hears %.2f a second", rate_at(g->gates[3], "m0"));
+  return gw_done(g, 0);
+}
+
+static bool a_base_takes_its_adapters_along(fleet *f) {
+  gw *g = gw_new(f, 1, 1);
+  holds_first(g->engine[0], "m0", "m3");
+  if (!gw_up(g)) return gw_done(g, 0);
+  static const char *const adapters[] = { "a1", "a2", "a3" };
+  for (int k = 0; k < 3; k++) if (!sim_until(g->s, load_done, load_ask(g, g->gates[0], g->engine[0], "m0", adapters[k], false), t_ms(8000))) breach(f, "%s does not come", adapters[k]);
+  unit *holder = engine_holder(g, g->engine[0]);
+  heard(holder, "m3", 100, 100);
+  sim_run(g->s, t_ms(1500));
+  guint from = g->log->orders->len;
+  if (!sim_until(g->s, load_done, load_ask(g, g->gates[0], g->engine[0], "m6", "", false), t_ms(12000))) breach(f, "m6 does not come");
+  GString *t = orders_since(g, from, g->engine[0]);
+  if (strcmp(t->str, "-m0 +m6 ")) breach(f, "for m6 the engine got: %s", t->str);
+  g_string_free(t, TRUE);
+  return gw_done(g, 0);
+}
+
+static unit *coordinator_of(gw *g) {
+  unit *best = NULL;
+  uint64_t top = 0;
+  for (int i = 0; i < g->f->vanes; i++) {
+    uint64_t h = hash_two("place:llm", g->gates[i]->h->self.s);
+    if (h > top) { top = h; best = g->gates[i]; }
+  }
+  return best;
+}
+
+static bool dear_room_is_refused(fleet *f) {
+  gw *g = gw_new(f, 6, 1);
+  for (size_t i = 0; i < g->engines; i++) holds_first(g->engine[i], "m0", "m3");
+  if (!gw_up(g)) return gw_done(g, 0);
+  unit *c = coordinator_of(g), *dear = NULL;
+  for (size_t i = 0; i < g->engines && !dear; i++) if (engine_holder(g, g->engine[i]) && engine_holder(g, g->engine[i]) != c) dear = g->engine[i];
+  if (!dear) return gw_done(g, 0);
+  /* given an engine with two models that only it holds, whose demand its holder knows and the coordinator does not yet */
+  static const char *const own[] = { "m6", "m9" };
+  for (int k = 0; k < 2; k++) if (!sim_until(g->s, load_done, load_ask(g, c, dear, own[k], "", false), t_ms(12000))) breach(f, "%s does not come", own[k]);
+  if (!em_engine_holds(dear->e, id_c("m6"), id_c("")) || !em_engine_holds(dear->e, id_c("m9"), id_c(""))) breach(f, "the engine does not hold m6 and m9");
+  sim_run(g->s, t_ms(2500));
+  heard(engine_holder(g, dear), "m6", 1000, 1000);
+  heard(engine_holder(g, dear), "m9", 1000, 1000);
+  heard(c, "m0", 200, 200);
+  heard(c, "m3", 200, 200);
+  /* when a rare model is asked for */
+  guint from = g->log->orders->len;
+  em_ask *a = em_client_send(g->c, g->note, "m1");
+  sim_run(g->s, t_ms(8000));
+  gw_quiet(g);
+  /* then the dear engine keeps what it holds, and another takes the model */
+  GString *t = orders_since(g, from, dear);
+  if (t->len) breach(f, "the dear engine got: %s", t->str);
+  g_string_free(t, TRUE);
+  if (!a->served) breach(f, "the rare model was not served elsewhere");
+  return gw_done(g, 0);
+}
+
+static bool loads_go_by_what_they_gain(fleet *f) {
+  gw *g = gw_new(f, 1, 1);
+  holds_first(g->engine[0], NULL, NULL);
+  if (!gw_up(g)) return gw_done(g, 0);
+  guint from = g->log->orders->len;
+  heard(engine_holder(g, g->engine[0]), "m7", 40, 40);
+  /* given a line of rare models at an empty engine, when one comes last that is asked for much */
+  static const char *const rare[] = { "m1", "m2", "m4", "m5" };
+  load *last = NULL;
+  for (int k = 0; k < 4; k++) { last = load_ask(g, g->gates[0], g->engine[0], rare[k], "", false); sim_run(g->s, t_ms(40)); }
+  load *hot = load_ask(g, g->gates[0], g->engine[0], "m7", "", false);
+  if (!sim_until(g->s, load_done, hot, t_ms(12000)) || !sim_until(g->s, load_done, last, t_ms(12000))) breach(f, "the line does not end");
+  sim_run(g->s, t_ms(3000));
+  /* then it is next after the one in hand, and the rest go in their turn */
+  GString *t = orders_since(g, from, g->engine[0]);
+  if (strcmp(t->str, "+m1 +m7 +m2 +m4 +m5 ")) breach(f, "the engine got: %s", t->str);
+  g_string_free(t, TRUE);
+  return gw_done(g, 0);
+}
+
+typedef struct duties { gw *g; unit *was; id engine[GW_ENGINES]; int n; } duties;
+
+static duties duties_of(gw *g, unit *u) {
+  duties d = { .g = g, .was = u };
+  for (size_t i = 0; i < g->engines; i++) if (engine_holder(g, g->engine[i]) == u) d.engine[d.n++] = g->engine[i]->e->self;
+  return d;
+}
+
+static unit *busiest_holder(gw *g) {
+  unit *best = g->gates[0];
+  for (int i = 1; i < g->f->vanes; i++) if (duties_of(g, g->gates[i]).n > duties_of(g, best).n) best = g->gates[i];
+  return best;
+}
+
+static bool all_back(sim *s, void *p) { (void)s; duties *d = p; return duties_of(d->g, d->was).n >= d->n; }
+
+static bool a_restarted_holder_goes_on(fleet *f) {
+  gw *g = gw_new(f, 4, 1);
+  if (!gw_up(g)) return gw_done(g, 0);
+  ask_more: sim_run(g->s, t_ms(1000));
+  unit *u = busiest_holder(g);
+  duties d = duties_of(g, u);
+  if (!d.n) goto ask_more;
+  char duty[64];
+  duty_engine(duty, sizeof duty, d.engine[0]);
+  uint64_t epoch = duty_epoch(u->gate->v, duty);
+  /* given a holder, when it is killed and started again, then it holds its duties again at once, under the next epoch */
+  gw_trouble(g, u->h, 'k', 3000);
+  host_kill(u->h);
+  sim_run(g->s, t_ms(100));
+  host_start(u->h);
+  if (!sim_until(g->s, all_back, &d, t_ms(2300))) breach(f, "2.3 s after its start a holder has not its duties back");
+  else if (duty_epoch(u->gate->v, duty) != epoch + 1) breach(f, "epoch %" PRIu64 " after %" PRIu64, duty_epoch(u->gate->v, duty), epoch);
+  for (int k = 0; k < 4; k++) em_client_send(g->c, g->note, "m12");
+  sim_run(g->s, t_ms(6000));
+  gw_quiet(g);
+  return gw_done(g, 0);
+}
+
+const story placement_stories[] = {
+  { "rates_reach_newcomers", rates_reach_newcomers, 4, 0, 50 }, { "a_base_takes_its_adapters_along", a_base_takes_its_adapters_along, 2, 0, 50 },
+  { "dear_room_is_refused", dear_room_is_refused, 4, 0, 50 }, { "loads_go_by_what_they_gain", loads_go_by_what_they_gain, 2, 0, 50 },
+  { "a_restarted_holder_goes_on", a_restarted_holder_goes_on, 4, 0, 100 },
+  { NULL, NULL, 0, 0, 0 } };
