--- a/lib/gate/gate.c
+++ b/lib/gate/gate.c
@@ -110,7 +110,8 @@
 void gate_drain(gate *g) {
   if (g->draining) return;
   g->draining = g->front.leaving = true;
-  g->v->drain = g->v->s.leaving = true;
+  g->v->drain = true;
+  site_leave(&g->v->s);
   g->drain_at = w_now(g->v->s.w);
   say(&g->v->s.log, "gate", "Asked to stop, %d requests are open.", g->open);
   task_start(&g->v->s.w->tasks, "leave", drain_run, g);
--- a/lib/site/site.c
+++ b/lib/site/site.c
@@ -257,14 +257,24 @@
   list_each(k, &s->machines, machine, n) if (!k->gone) site_cast(s, k->addr, m);
 }
 
-void site_idle(site *s, bool idle) {
-  if (s->idle == idle) return;
-  s->idle = idle;
+static void tell_self(site *s) {
   Wire__Beat b = WIRE__BEAT__INIT;
   Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_BEAT, &b);
   everyone(s, &m);
 }
 
+void site_idle(site *s, bool idle) {
+  if (s->idle == idle) return;
+  s->idle = idle;
+  tell_self(s);
+}
+
+void site_leave(site *s) {
+  if (s->leaving) return;
+  s->leaving = true;
+  tell_self(s);
+}
+
 static void doubt_add(site *s, machine *m, id by, bool clear) {
   tick now = w_now(s->w);
   int at = -1;
@@ -333,9 +343,7 @@
   (void)out; (void)e;
   id who = id_c(in->doubt->id);
   if (id_eq(who, s->v.self)) {
-    Wire__Beat b = WIRE__BEAT__INIT;
-    Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_BEAT, &b);
-    if (in->doubt->nonce == s->nonce) everyone(s, &m);
+    if (in->doubt->nonce == s->nonce) tell_self(s);
     return OK;
   }
   machine *m = site_find(s, who);
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -93,6 +93,8 @@
 
 /** Says whether this node can do duties, to all, when that changes. */
 void site_idle(site *s, bool idle);
+/** Says to all that this node leaves. */
+void site_leave(site *s);
 /** Sends a message and forgets it. */
 void site_cast(site *s, const char *addr, Wire__Envelope *m);
 /** Sends a message and waits for its reply, which the caller frees with site_done. */
--- a/lib/vane/vane.c
+++ b/lib/vane/vane.c
@@ -38,7 +38,8 @@
 
 void vane_drain(vane *v) {
   if (v->drain) return;
-  v->drain = v->s.leaving = true;
+  v->drain = true;
+  site_leave(&v->s);
   say(&v->s.log, "vane", "Asked to stop; takes no new requests, %d are open.", v->open);
   task_start(&v->s.w->tasks, "drain", drain_run, v);
 }
