Story: a busy holder leaves, and the next one keeps its distance

a_busy_holder_leaves: an engine is ordered about all the time, its holder leaves, and those who come next have heard nothing of its last orders (else a holder's own wait after the last load that it heard of hides what the head does). No two holders order an engine within a lease, and the next one does order.

--- a/tests/placement.c
+++ b/tests/placement.c
@@ -234,6 +234,43 @@
   return gw_done(g, 0);
 }
 
+/* no two holders order an engine about within a lease */
+static void orders_apart(gw *g) {
+  for (guint k = 0; k < g->log->orders->len; k++) {
+    em_order *o = g->log->orders->pdata[k];
+    for (guint m = 0; m < k; m++) {
+      em_order *p = g->log->orders->pdata[m];
+      int64_t us = o->at.us - p->at.us;
+      if (id_eq(o->engine, p->engine) && !id_eq(o->holder, p->holder) && us < LEASE_MS * 1000) { breach(g->f, "%s and %s order %s within %.2f s", p->holder.s, o->holder.s, o->engine.s, (double)us / 1e6); return; }
+    }
+  }
+}
+
+static bool a_busy_holder_leaves(fleet *f) {
+  gw *g = gw_new(f, 2, 1);
+  g->loads_per_s = 6;
+  for (size_t i = 0; i < g->engines; i++) holds_first(g->engine[i], NULL, NULL);
+  if (!gw_up(g)) return gw_done(g, 0);
+  /* given engines that are ordered about all the time, when their holder leaves, then the next one keeps its distance */
+  unit *u = engine_holder(g, g->engine[0]), *from = g->gates[0] == u ? g->gates[1] : g->gates[0];
+  for (size_t i = 0; i < g->engines; i++) for (size_t k = 0; k < G_N_ELEMENTS(small); k++) load_ask(g, from, g->engine[i], small[k], "", true);
+  sim_run(g->s, t_ms(5000 + (int64_t)sim_draw(g->s, 2000)));
+  duties d = duties_of(g, u);
+  /* those who come next hear nothing of its last orders, so that only the head's word keeps them apart */
+  for (int k = 0; k < f->vanes; k++) if (g->gates[k] != u && g->gates[k] != from) sim_cut(g->s, u->h->self.s, g->gates[k]->h->self.s, true);
+  sim_run(g->s, t_ms(1500));
+  gw_term(g, u);
+  sim_run(g->s, t_ms(700));
+  sim_mend(g->s);
+  sim_run(g->s, t_ms(9000));
+  if (!others_hold(g->s, &d)) breach(f, "nobody holds the duties of one that left");
+  guint n = 0;
+  for (guint k = 0; k < g->log->orders->len; k++) { em_order *o = g->log->orders->pdata[k]; n += id_eq(o->engine, g->engine[0]->e->self) && !id_eq(o->holder, u->h->self); }
+  if (!n) breach(f, "the next holder orders nothing");
+  orders_apart(g);
+  return gw_done(g, 0);
+}
+
 static bool all_back(sim *s, void *p) { (void)s; duties *d = p; return duties_of(d->g, d->was).n >= d->n; }
 
 static bool a_restarted_holder_goes_on(fleet *f) {
@@ -263,5 +300,5 @@
   { "rates_reach_newcomers", rates_reach_newcomers, 4, 0, 50 }, { "a_base_takes_its_adapters_along", a_base_takes_its_adapters_along, 2, 0, 50 },
   { "dear_room_is_refused", dear_room_is_refused, 4, 0, 50 }, { "loads_go_by_what_they_gain", loads_go_by_what_they_gain, 2, 0, 50 },
   { "rare_loads_are_not_starved", rare_loads_are_not_starved, 2, 0, 34 }, { "a_leaving_holder_hands_over_quickly", a_leaving_holder_hands_over_quickly, 4, 0, 100 },
-  { "a_restarted_holder_goes_on", a_restarted_holder_goes_on, 4, 0, 100 },
+  { "a_busy_holder_leaves", a_busy_holder_leaves, 4, 0, 100 }, { "a_restarted_holder_goes_on", a_restarted_holder_goes_on, 4, 0, 100 },
   { NULL, NULL, 0, 0, 0 } };
