--- a/tests/placement.c
+++ b/tests/placement.c
@@ -296,9 +296,70 @@
   return gw_done(g, 0);
 }
 
+static void ask_rare(gw *g, int n) {
+  char name[16];
+  for (int k = 0; k < n; k++) { snprintf(name, sizeof name, "m%d", 9 + (int)sim_draw(g->s, 5)); em_client_send(g->c, g->note, name); }
+}
+
+/* a fleet too large for all to tell all: rates go by collectors, tickets to heirs, and placement is shared out */
+static bool a_large_fleet_places_by_parts(fleet *f) {
+  gw *g = gw_new(f, 6, 1);
+  if (!gw_up(g)) return gw_done(g, 0);
+  sim_run(g->s, t_ms(1500));
+  if (g->gates[0]->gate->nodes != f->vanes) breach(f, "%d nodes are known of %d", g->gates[0]->gate->nodes, f->vanes);
+  /* when each of many gateways sees a little demand for some models */
+  static const char *const keys[] = { "m0", "m1", "m2", "m3", "m4", "m5" };
+  for (int i = 0; i < f->vanes; i++) for (size_t k = 0; k < G_N_ELEMENTS(keys); k++) history_add(&g->gates[i]->gate->v->h, (entry){ EV_ROUTED, { 0 }, id_c(""), id_c(keys[k]), id_c(""), 0 });
+  uint64_t posts = g->s->posts;
+  sim_run(g->s, t_ms(1500));
+  /* then they don't all tell all */
+  posts = g->s->posts - posts;
+  if (posts > 1.2 * f->vanes * f->vanes) breach(f, "%" PRIu64 " messages in 1.5 s", posts);
+  sim_run(g->s, t_ms(3000));
+  /* and every one of them knows the demand of the whole */
+  int low = 0;
+  double least = 1e9;
+  for (int i = 0; i < f->vanes; i++) for (size_t k = 0; k < G_N_ELEMENTS(keys); k++) {
+    double *r = g_hash_table_lookup(g->gates[i]->gate->rates_whole, keys[k]);
+    least = MIN(least, r ? *r : 0);
+    low += !r || *r < 0.8 * f->vanes / 20;
+  }
+  if (low) breach(f, "%d of %d rates are not known in the whole; the least is %.2f", low, f->vanes * (int)G_N_ELEMENTS(keys), least);
+  /* when models that nobody holds are asked for by many, and the pacer dies in the middle */
+  ask_rare(g, 20);
+  sim_run(g->s, t_ms(1500));
+  unit *pacer = holder_of(g, "pacer"), *next = NULL;
+  bool told[100];
+  int knowing = 0;
+  for (int i = 0; i < f->vanes; i++) knowing += told[i] = g_hash_table_size(g->gates[i]->gate->paces) > 0;
+  if (knowing < 2 || knowing > 6) breach(f, "%d gateways know of the tickets that were given", knowing);
+  if (pacer) { gw_trouble(g, pacer->h, 'k', 6000); host_kill(pacer->h); }
+  else breach(f, "nobody holds the pace");
+  bool placed[100] = { false };
+  for (int k = 0; k < 50; k++) {
+    if (k % 5 == 0) ask_rare(g, 2);
+    sim_run(g->s, t_ms(200));
+    if (!next) next = holder_of(g, "pacer");
+    for (int i = 0; i < f->vanes; i++) placed[i] |= g->gates[i]->gate && g_hash_table_size(g->gates[i]->gate->placings);
+  }
+  /* then the next one is among the few that were told of tickets, and more than one gateway places */
+  if (!next || next == pacer) breach(f, "nobody takes the pace over");
+  else for (int i = 0; i < f->vanes; i++) if (g->gates[i] == next && !told[i]) breach(f, "%s takes the pace over and knows of no ticket", next->h->self.s);
+  int coordinators = 0;
+  for (int i = 0; i < f->vanes; i++) coordinators += placed[i];
+  if (coordinators < 2) breach(f, "%d gateways place for all", coordinators);
+  em_ask *a[2] = { em_client_send(g->c, g->note, "m12"), em_client_send(g->c, g->note, "m10") };
+  sim_run(g->s, t_ms(12000));
+  gw_quiet(g);
+  /* then the store is not rushed (CEILING), one holder at a time gives orders (ONE), and models come */
+  if (!a[0]->served || !a[1]->served) breach(f, "models do not come after the pacer died (%d %d)", a[0]->served, a[1]->served);
+  return gw_done(g, 0.4);
+}
+
 const story placement_stories[] = {
   { "rates_reach_newcomers", rates_reach_newcomers, 4, 0, 50 }, { "a_base_takes_its_adapters_along", a_base_takes_its_adapters_along, 2, 0, 50 },
   { "dear_room_is_refused", dear_room_is_refused, 4, 0, 50 }, { "loads_go_by_what_they_gain", loads_go_by_what_they_gain, 2, 0, 50 },
   { "rare_loads_are_not_starved", rare_loads_are_not_starved, 2, 0, 34 }, { "a_leaving_holder_hands_over_quickly", a_leaving_holder_hands_over_quickly, 4, 0, 100 },
   { "a_busy_holder_leaves", a_busy_holder_leaves, 4, 0, 100 }, { "a_restarted_holder_goes_on", a_restarted_holder_goes_on, 4, 0, 100 },
+  { "a_large_fleet_places_by_parts", a_large_fleet_places_by_parts, 36, 0, 10 },
   { NULL, NULL, 0, 0, 0 } };
