Story: room under what runs costs its drain

busy_victims_cost_their_drain, of, over place_cost alone: two engines alike, one of them runs its victims; the cost counts a drain of at least 1 s, twice the usual run, and 300 on top.

--- a/tests/loader.c
+++ b/tests/loader.c
@@ -427,6 +427,30 @@
   return true;
 }
 
+/* what runs has to end before it goes: room under a busy model costs its drain, and more the longer runs usually take */
+static bool busy_victims_cost_their_drain(fleet *f) {
+  bare *b = bare_new(f);
+  const service *s = routing_service(b->r, "s");
+  /* given two engines with the same models, asked for as much, and one of them runs what had to go */
+  instance *idle = beat(b, "e1", "10.0.0.1:80", 1, 0, "big,mid"), *busy = beat(b, "e2", "10.0.0.2:80", 1, 0, "big,mid");
+  asked(b, "big", "", 60);
+  asked(b, "mid", "", 60);
+  sim_run(f->s, t_ms(9000));
+  double mb, drain, calm;
+  unsigned slots;
+  calm = place_cost(idle, s, id_c("new"), id_c(""), &mb, &slots, &drain);
+  WANT(f, near(drain, 0) && near(calm, place_cost(busy, s, id_c("new"), id_c(""), &mb, &slots, &drain)) && near(drain, 0));
+  static const char *const run[] = { "big", "mid" };
+  for (int k = 0; k < 2; k++) { busy->picked_model = id_c(run[k]); instance_sent(busy, 100); }
+  WANT(f, near(place_cost(idle, s, id_c("new"), id_c(""), &mb, &slots, &drain), calm) && near(drain, 0));
+  double cost = place_cost(busy, s, id_c("new"), id_c(""), &mb, &slots, &drain);
+  WANT(f, near(drain, 1000) && near(cost, calm * 3000 / 2000 + 300));
+  busy->usual_run = 4000;
+  WANT(f, place_cost(busy, s, id_c("new"), id_c(""), &mb, &slots, &drain) > cost + 300 && near(drain, 8000));
+  bare_free(b);
+  return true;
+}
+
 const story loader_stories[] = {
   { "room_counts_in_both_measures", room_counts_in_both_measures, 1, 1, 20 }, { "copies_share_a_rate", copies_share_a_rate, 1, 1, 20 },
   { "orders_outlast_older_beats", orders_outlast_older_beats, 1, 1, 20 }, { "failures_shun_and_a_byte_clears", failures_shun_and_a_byte_clears, 1, 1, 20 },
@@ -435,5 +459,6 @@
   { "silent_engines_come_back", silent_engines_come_back, 1, 1, 20 }, { "the_policy_in_force_chooses", the_policy_in_force_chooses, 1, 1, 20 },
   { "what_waits_says_how_many_copies", what_waits_says_how_many_copies, 1, 1, 20 },
   { "failures_now_and_then_add_up_over_nodes", failures_now_and_then_add_up_over_nodes, 1, 1, 60 },
+  { "busy_victims_cost_their_drain", busy_victims_cost_their_drain, 1, 1, 20 },
   { "what_is_not_named_runs_no_more", what_is_not_named_runs_no_more, 1, 1, 20 },
   { NULL, NULL, 0, 0, 0 } };
