Before a model is loaded its engine is asked once more what it holds

What a holder knows comes by beats that may be seconds old at a busy node. Conclusion: kept as a guard.

--- a/lib/gate/loader.c
+++ b/lib/gate/loader.c
@@ -579,7 +579,11 @@
       if (r) break;
       if (!(s = service_of(g, name))) { r = err_set(x, E_MODEL, "no such service"); break; }
     }
-    /* nothing else may have come in while the pace was waited for: an engine that is filled past its room falls */
+    /* an engine that is filled past its room falls: before a model goes there, it is asked once more what it holds */
+    if (base && (!i->reported_at.us || since_ms(g, i->reported_at) > SURE_MS) && !report(i, &busy, &running, x)) { r = err_set(x, E_ENGINE, "%s says nothing of itself", i->self.s); *wait = 300; break; }
+    if (!(s = service_of(g, name))) { r = err_set(x, E_MODEL, "no such service"); break; }
+    if (base && instance_resident(i, model)) return OK;
+    /* nothing else may have come in while the pace was waited for */
     cand all[CANDS];
     double held_mb;
     unsigned held_slots;
