--- a/lib/site/args.c
+++ b/lib/site/args.c
@@ -10,7 +10,7 @@
   { "area", 'a', "NAME", 0, "area it stands in", 0 }, { "listen", 'l', "IP:PORT", 0, "where it listens", 0 },
   { "seeds", 's', "A,B,C", 0, "three addresses of other processes", 0 }, { "data", 'd', "DIR", 0, "data folder (mast)", 0 },
   { "founders", 'f', "A,B,C", 0, "names of the three founding masts (mast)", 0 }, { "platform", 'p', "IP:PORT", 0, "the platform's list (vane)", 0 },
-  { "loud", 'v', NULL, 0, "log more", 0 }, { "check", 'c', NULL, 0, "check the settings and end", 0 }, { 0 } };
+  { "loud", 'v', NULL, 0, "log more", 0 }, { "json-log", 'j', NULL, 0, "log lines of JSON", 0 }, { "check", 'c', NULL, 0, "check the settings and end", 0 }, { 0 } };
 
 static void lay(args *a, const char *key, char *arg, bool many) {
   GString *g = a->extra;
@@ -35,6 +35,7 @@
     case 'f': lay(a, "founders", arg, true); return 0;
     case 'p': lay(a, "platform", arg, false); return 0;
     case 'v': a->v->loud = true; return 0;
+    case 'j': a->v->jsonLog = true; return 0;
     case 'c': a->check = true; return 0;
     case ARGP_KEY_ARG: argp_error(st, "no such argument: %s", arg); return 0;
     default: return ARGP_ERR_UNKNOWN;
--- a/lib/site/env.c
+++ b/lib/site/env.c
@@ -83,6 +83,7 @@
       if (x->kind != J_NUM || x->num < WIRE_LEAST || x->num > WIRE_NOW) r = err_set(e, E_ENV_KEY, "wire: %d to %d", WIRE_LEAST, WIRE_NOW);
       else v->wire = x->num;
     } else if (!strcmp(k, "loud")) v->loud = x->yes;
+    else if (!strcmp(k, "jsonLog")) v->jsonLog = x->yes;
     else r = err_set(e, E_ENV_KEY, "%s: this daemon knows no such setting", k);
   }
   json_free(j);
--- a/lib/site/log.c
+++ b/lib/site/log.c
@@ -1,8 +1,28 @@
 #include "log.h"
+#include "json.h"
 #include <stdarg.h>
 #include <stdio.h>
 
+/* one form for people, and lines of JSON for programs */
+static void put_json(log_to *l, const char *part, const char *form, va_list a) {
+  char text[700], stamp[48];
+  vsnprintf(text, sizeof text, form, a);
+  GString *b = g_string_new(NULL);
+  json_f(b, "{\"time\":\"%s\",\"node\":", l->w->stamp(l->w, stamp, sizeof stamp));
+  json_quote(b, str_of(l->who.s));
+  g_string_append(b, ",\"part\":");
+  json_quote(b, str_of(part));
+  g_string_append(b, ",\"text\":");
+  json_quote(b, str_of(text));
+  const char *code = g_strrstr(text, "(code ");
+  if (code && strspn(code + 6, "0123456789")) json_f(b, ",\"code\":%.*s", (int)strspn(code + 6, "0123456789"), code + 6);
+  g_string_append_c(b, '}');
+  l->w->say(l->w, b->str);
+  g_string_free(b, TRUE);
+}
+
 static void put(log_to *l, const char *part, const char *form, va_list a) {
+  if (l->json) { put_json(l, part, form, a); return; }
   char line[700], stamp[48];
   int n = snprintf(line, sizeof line, "%s %s %s: ", l->w->stamp(l->w, stamp, sizeof stamp), l->who.s, part);
   vsnprintf(line + n, sizeof line - n, form, a);
--- a/lib/site/site.c
+++ b/lib/site/site.c
@@ -461,7 +461,7 @@
 void site_init(site *s, world *w, const env *v) {
   memset(s, 0, sizeof *s);
   s->w = w; s->v = *v;
-  s->log = (log_to){ w, v->self, v->loud };
+  s->log = (log_to){ w, v->self, v->loud, v->jsonLog };
   s->born = w_now(w);
   s->inc = 1; s->nonce = w->draw(w) | 1;
   s->calls = w->draw(w) >> 16;
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -20,7 +20,7 @@
   char seeds[3][48];
   id founders[3];
   size_t fileBytes;
-  bool loud;
+  bool loud, jsonLog;
   unsigned wire;
   /** A vane that is a gateway: engines register themselves, and there is no list of a platform. */
   bool gateway;
--- a/tests/stories.c
+++ b/tests/stories.c
@@ -1400,7 +1400,7 @@
   { "expressions_are_policies", expressions_are_policies, 4, 4, 50 }, { "two_wire_versions_side_by_side", two_wire_versions_side_by_side, 4, 4, 100 }, { "readers_meet_spoilt_bytes", readers_meet_spoilt_bytes, 2, 2, 50 }, { "configurations_grow_large", configurations_grow_large, 3, 2, 34 }, { "callers_read_slowly", callers_read_slowly, 3, 3, 34 },
   { "a_run_is_lost_and_the_next_is_refused", a_run_is_lost_and_the_next_is_refused, 3, 2, 100 }, { "the_core_is_cut_off_from_the_vanes", the_core_is_cut_off_from_the_vanes, 5, 6, 100 },
   { "heads_and_tails_freeze_and_wake", heads_and_tails_freeze_and_wake, 3, 3, 100 }, { "a_hot_model_gets_copies", a_hot_model_gets_copies, 4, 5, 50 }, { "the_paper_is_met", the_paper_is_met, 1, 1, 50 }, { "a_blank_machine_hears_of_a_fleet", a_blank_machine_hears_of_a_fleet, 2, 2, 100 }, { NULL, NULL, 0, 0, 0 } };
-static const story *const lists[] = { main_stories, cut_stories, loss_stories, any_stories, routing_stories, core_stories, registry_stories, loader_stories, budget_stories, gateway_stories, forward_stories, fields_stories, operator_stories, day_stories, member_stories, canary_stories, delta_stories, placement_stories };
+static const story *const lists[] = { main_stories, cut_stories, loss_stories, any_stories, routing_stories, core_stories, registry_stories, loader_stories, budget_stories, gateway_stories, forward_stories, fields_stories, operator_stories, day_stories, member_stories, canary_stories, delta_stories, placement_stories, log_stories };
 
 /* the tests run in the order in which they were added */
 static size_t turn;
