No load while another's order is under way: what it brings is in no report yet

Ruled out: beats older than a report (closed before; it came again). Change: a holder that finds an engine busy does not begin; after a 409 the engine's report is read until it is not busy, so that the room is counted anew.

--- a/lib/gate/loader.c
+++ b/lib/gate/loader.c
@@ -604,6 +604,14 @@
     /* another order is under way, or it could not be reached */
     if (st == 0 && tries >= 3) { r = err_set(x, E_ENGINE, "%s can't be reached", i->self.s); *wait = 500; break; }
     if ((r = nap(i, st == 409 ? 60 : 100, x))) break;
+    /* an order that is not this one's is under way: what it brings shows only in a report after it */
+    busy = st == 409;
+    for (int k = 0; busy && !r && k < 60; k++) {
+      if (!report(i, &busy, &running, x)) r = err_set(x, E_ENGINE, "%s says nothing of itself", i->self.s);
+      else if (busy) r = nap(i, 150, x);
+    }
+    if (!r && busy) r = err_set(x, E_ENGINE, "%s is busy with another's order", i->self.s);
+    if (r) { *wait = 500; break; }
   }
   if (r) {
     if (owed) { i->owed_mb = MAX(0, i->owed_mb - mb); i->owed_slots -= MIN(i->owed_slots, slots); }
@@ -706,6 +714,8 @@
     if (!report(i, &busy, &running, x)) return err_set(x, E_ENGINE, "%s says nothing of itself", i->self.s);
     if (busy && (r = nap(i, 150, x))) return r;
   }
+  /* a load that is still under way is in no report, and would fill the room that looks free */
+  if (busy) return err_set(x, E_ENGINE, "%s is busy with another's order", i->self.s);
   if (epoch_of(i) != epoch) return err_set(x, E_HOLDER, "no contract for %s", i->self.s);
   i->owed_mb = 0;
   i->owed_slots = 0;
