One mechanism each for casts to a role, the first for a name, told load times and quiet engines

Now site_cast_all, site_first, vane_rates_heard, vane_timed and quiet_over. A window of rates that the loader sets anyway is no longer set before it. Tried and taken back before this commit: without the handler of engines in news.c, which gateways replace by their own, the story engines_come_and_go_by_beats fails: a vane without the gateway part hears of leaving engines by it. Left: own placement (place.c) and the gateways' (loader.c) stay apart; they differ in how engines report (docs/platform.md).

--- a/lib/gate/canary.c
+++ b/lib/gate/canary.c
@@ -103,7 +103,7 @@
   q.version = g->canary->version;
   q.n_elders = 1; q.elders = &x;
   Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_CANARYELDERS, &q);
-  list_each(k, &g->v->s.machines, machine, n) if (k->role == ROLE_VANE && !k->gone) site_cast(&g->v->s, k->addr, &m);
+  site_cast_all(&g->v->s, ROLE_VANE, &m);
 }
 
 canary_part canary_admit(gate *g, const ask *a, const route *r) {
--- a/lib/gate/forward.c
+++ b/lib/gate/forward.c
@@ -316,6 +316,18 @@
   return t_add(last, t_ms((int64_t)span));
 }
 
+/* true when the silence was long enough and a place was taken elsewhere; else says when to look again at the latest */
+static bool quiet_over(flight *f, const call *c, tick last, bool passed, tick *again, tick *till) {
+  tick now = now_of(f), quiet = quiet_till(f, c, last, passed);
+  if (again->us > quiet.us) quiet = *again;
+  if (t_past(now, quiet)) {
+    if (another(f)) return true;
+    *again = quiet = t_add(now, t_ms(AGAIN_MS));
+  }
+  *till = sooner(*till, quiet);
+  return false;
+}
+
 /* whole events at the head of what came, as a length; 0 when there is none */
 static size_t whole_events(const char *p, size_t n) {
   for (size_t i = n; i > 1; i--) {
@@ -419,15 +431,7 @@
     if (c->ended || c->broken || c->got->len > BODY_MOST) return joins(f) && repeats(f) && another(f) ? END_AGAIN : END_FAILED;
     if (t_past(now, over)) return END_LATE;
     tick till = over;
-    if (repeats(f) && joins(f)) {
-      tick quiet = quiet_till(f, c, last, events);
-      if (again.us > quiet.us) quiet = again;
-      if (t_past(now, quiet)) {
-        if (another(f)) return END_AGAIN;
-        again = quiet = t_add(now, t_ms(AGAIN_MS));
-      }
-      till = sooner(till, quiet);
-    }
+    if (repeats(f) && joins(f) && quiet_over(f, c, last, events, &again, &till)) return END_AGAIN;
     bell_wait(&w->tasks, &c->news, till);
   }
 }
@@ -445,15 +449,7 @@
     if (had > BODY_MOST) return END_FAILED;
     if (t_past(now, over)) return END_LATE;
     tick till = over;
-    if (repeats(f)) {
-      tick quiet = quiet_till(f, c, last, false);
-      if (again.us > quiet.us) quiet = again;
-      if (t_past(now, quiet)) {
-        if (another(f)) return END_AGAIN;
-        again = quiet = t_add(now, t_ms(AGAIN_MS));
-      }
-      till = sooner(till, quiet);
-    }
+    if (repeats(f) && quiet_over(f, c, last, false, &again, &till)) return END_AGAIN;
     bell_wait(&w->tasks, &c->news, till);
   }
   if (a->gone) return END_LEFT;
@@ -507,15 +503,7 @@
       till = up;
     } else {
       if (t_past(now, over)) return END_LATE;
-      if (repeats(f)) {
-        tick quiet = quiet_till(f, c, c->sent_at.us ? c->sent_at : from, false);
-        if (again.us > quiet.us) quiet = again;
-        if (t_past(now, quiet)) {
-          if (another(f)) return END_AGAIN;
-          again = quiet = t_add(now, t_ms(AGAIN_MS));
-        }
-        till = sooner(till, quiet);
-      }
+      if (repeats(f) && quiet_over(f, c, c->sent_at.us ? c->sent_at : from, false, &again, &till)) return END_AGAIN;
     }
     bell_wait(&w->tasks, &c->news, till);
   }
--- a/lib/gate/gate.c
+++ b/lib/gate/gate.c
@@ -73,7 +73,6 @@
   v->on_engines = on_engines;
   v->each_duty = each_duty;
   v->page = page;
-  if (x->rate_window_s > 0) history_window(&v->h, (tick){ (int64_t)(x->rate_window_s * 1e6) });
   on_installed(g);
   canary_start(g);
   instances_start(g);
--- a/lib/gate/instances.c
+++ b/lib/gate/instances.c
@@ -514,7 +514,7 @@
   q.n_engines = 1;
   q.engines = &ep;
   Wire__Envelope out = wire_msg(WIRE__ENVELOPE__BODY_ENGINES, &q);
-  list_each(x, &s->machines, machine, n) if (x->role == ROLE_VANE && !x->gone) site_cast(s, x->addr, &out);
+  site_cast_all(s, ROLE_VANE, &out);
   g_free(m);
   g_free(mp);
 }
--- a/lib/gate/loader.c
+++ b/lib/gate/loader.c
@@ -536,13 +536,7 @@
 
 static void timed_cast(gate *g, id type, const char *key, double ms) {
   /* among many nodes each load is one of many: some of their times suffice */
-  if (g->nodes > FEW_NODES && w_draw(g->v->s.w, 8)) return;
-  Wire__Timed t = WIRE__TIMED__INIT, *tp = &t;
-  Wire__Rates q = WIRE__RATES__INIT;
-  t.type = type.s; t.key = (char *)key; t.ms = (uint64_t)ms;
-  q.nonce = g->v->s.nonce; q.n_timed = 1; q.timed = &tp;
-  Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_RATES, &q);
-  list_each(k, &g->v->s.machines, machine, n) if (k->role == ROLE_VANE && !k->gone) site_cast(&g->v->s, k->addr, &m);
+  if (g->nodes <= FEW_NODES || !w_draw(g->v->s.w, 8)) vane_timed(g->v, type, key, ms);
 }
 
 /* one load order, and the wait until the thing is up */
@@ -1120,19 +1114,9 @@
   int parts = parts_of(g);
   if (parts == 1) snprintf(by, sizeof by, "place:%s", j->service.s);
   else snprintf(by, sizeof by, "place:%s/%d", j->service.s, part_of(j->model.s, parts));
-  site *s = &g->v->s;
-  uint64_t top = 0;
-  *who = s->v.self;
-  g_strlcpy(addr, s->v.addr, 48);
-  if (!s->leaving && !(skip && id_eq(j->tried, *who))) top = hash_two(by, s->v.self.s);
-  list_each(m, &s->machines, machine, n) {
-    if (m->role != ROLE_VANE || m->gone || m->leaving || (skip && id_eq(j->tried, m->self))) continue;
-    uint64_t h = hash_two(by, m->self.s);
-    if (h <= top) continue;
-    top = h;
-    *who = m->self;
-    g_strlcpy(addr, m->addr, 48);
-  }
+  if (site_first(&g->v->s, ROLE_VANE, by, skip ? j->tried : none, who, addr)) return;
+  *who = g->v->s.v.self;
+  g_strlcpy(addr, g->v->s.v.addr, 48);
 }
 
 static bool want_alive(gate *g, want_job *j) { return !t_past(now_of(g), t_add(j->asked, t_ms(j->copy ? 4 * ALIVE_MS : ALIVE_MS))); }
@@ -1228,9 +1212,7 @@
     if (!r) { r = g_new0(whole_rate, 1); g_hash_table_insert(g->rates_whole, g_strdup(q->rates[i]->key), r); }
     *r = (whole_rate){ (double)q->rates[i]->total / 1000, now_of(g) };
   }
-  for (size_t i = 0; !q->whole && i < q->n_rates; i++) if (strlen(q->rates[i]->key) < 100) history_heard(&g->v->h, q->nonce, q->rates[i]->key, q->rates[i]->total, q->rates[i]->window);
-  for (size_t i = 0; i < q->n_timed; i++)
-    if (id_fits(str_of(q->timed[i]->type)) && strlen(q->timed[i]->key) < 130 && q->timed[i]->ms < 600000) history_timed(&g->v->h, id_c(q->timed[i]->type), q->timed[i]->key, (double)q->timed[i]->ms);
+  vane_rates_heard(g->v, q);
   return OK;
 }
 
@@ -1239,16 +1221,10 @@
 static int shard_of(const char *key) { return (int)(hash_of(key, strlen(key), 7) % SHARDS); }
 
 static void collector(gate *g, int shard, char addr[48]) {
-  site *s = &g->v->s;
   char by[24];
+  id who;
   snprintf(by, sizeof by, "rates:%d", shard);
-  uint64_t top = s->leaving ? 0 : hash_two(by, s->v.self.s);
-  g_strlcpy(addr, s->leaving ? "" : s->v.addr, 48);
-  list_each(m, &s->machines, machine, n) {
-    if (m->role != ROLE_VANE || m->gone || m->leaving) continue;
-    uint64_t h = hash_two(by, m->self.s);
-    if (h > top) { top = h; g_strlcpy(addr, m->addr, 48); }
-  }
+  if (!site_first(&g->v->s, ROLE_VANE, by, none, &who, addr)) addr[0] = 0;
 }
 
 static void rates_send(gate *g, GPtrArray *some, const char *addr, bool whole) {
@@ -1258,7 +1234,7 @@
   q.nonce = v->s.nonce; q.n_rates = some->len; q.rates = (Wire__Rate **)some->pdata; q.whole = whole;
   Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_RATES, &q);
   if (addr) { site_cast(&v->s, addr, &m); return; }
-  list_each(x, &v->s.machines, machine, n) if (x->role == ROLE_VANE && !x->gone) site_cast(&v->s, x->addr, &m);
+  site_cast_all(&v->s, ROLE_VANE, &m);
 }
 
 /* what this node collects, told to all: only what is asked for at all, and once more when that ends */
--- a/lib/site/site.c
+++ b/lib/site/site.c
@@ -25,6 +25,26 @@
 
 void site_cast(site *s, const char *addr, Wire__Envelope *m) { m->call = 0; m->reply = false; send(s, addr, m); }
 
+void site_cast_all(site *s, enum role r, Wire__Envelope *m) {
+  list_each(k, &s->machines, machine, n) if (k->role == r && !k->gone) site_cast(s, k->addr, m);
+}
+
+bool site_first(site *s, enum role r, const char *by, id pass_over, id *who, char addr[48]) {
+  uint64_t top = 0;
+  bool any = s->v.role == r && !s->leaving && !id_eq(pass_over, s->v.self);
+  if (any) { top = hash_two(by, s->v.self.s); *who = s->v.self; g_strlcpy(addr, s->v.addr, 48); }
+  list_each(m, &s->machines, machine, n) {
+    if (m->role != r || m->gone || m->leaving || id_eq(pass_over, m->self)) continue;
+    uint64_t h = hash_two(by, m->self.s);
+    if (any && h <= top) continue;
+    any = true;
+    top = h;
+    *who = m->self;
+    g_strlcpy(addr, m->addr, 48);
+  }
+  return any;
+}
+
 int site_call(site *s, const char *addr, Wire__Envelope *m, tick span, Wire__Envelope **back, err *e) {
   wait_for f = { .back = NULL };
   uint64_t k = ++s->calls;
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -97,6 +97,11 @@
 void site_leave(site *s);
 /** Sends a message and forgets it. */
 void site_cast(site *s, const char *addr, Wire__Envelope *m);
+/** Sends a message to all live machines of a role, this one left out. */
+void site_cast_all(site *s, enum role r, Wire__Envelope *m);
+/** The machine of a role that comes first for a name, in an order that all agree on, among those that live and don't leave;
+ *  this one counts if it has the role. One may be passed over (an empty id: none). False when there is nobody. */
+bool site_first(site *s, enum role r, const char *by, id pass_over, id *who, char addr[48]);
 /** Sends a message and waits for its reply, which the caller frees with site_done. */
 int site_call(site *s, const char *addr, Wire__Envelope *m, tick span, Wire__Envelope **back, err *e);
 /** Frees a reply. */
--- a/lib/vane/place.c
+++ b/lib/vane/place.c
@@ -1,7 +1,7 @@
 #include "vane.h"
 #include <stdio.h>
 
-enum { ORDER_MS = 3000, UNLOAD_MS = 20000, SETTLE_MS = 3000, YOUNG_MS = 15000, TICKET_MS = 100, ASK_MS = 2000, BACK_MS = 1000, BACK_MOST_MS = 60000,
+enum { KEY_MOST = 130, ORDER_MS = 3000, UNLOAD_MS = 20000, SETTLE_MS = 3000, YOUNG_MS = 15000, TICKET_MS = 100, ASK_MS = 2000, BACK_MS = 1000, BACK_MOST_MS = 60000,
        PACE_LINE_MS = 1000, LINGER_MS = 1500, MUTE_MS = 12000 };
 
 bool item_size(vane *v, id model_, id adapter_, uint64_t *megs, unsigned *slots) {
@@ -339,12 +339,7 @@
   if (!there) {
     history_timed(&v->h, e->type, key, ms);
     history_add(&v->h, (entry){ EV_LOADED, { 0 }, e->self, model_, adapter_, (int64_t)ms });
-    Wire__Timed t = WIRE__TIMED__INIT, *tp = &t;
-    Wire__Rates q = WIRE__RATES__INIT;
-    t.type = e->type.s; t.key = key; t.ms = (uint64_t)ms;
-    q.nonce = v->s.nonce; q.n_timed = 1; q.timed = &tp;
-    Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_RATES, &q);
-    list_each(k, &v->s.machines, machine, n) if (k->role == ROLE_VANE && !k->gone) site_cast(&v->s, k->addr, &m);
+    vane_timed(v, e->type, key, ms);
     say(&v->s.log, "place", "%s has %s after %.0f ms, epoch %" PRIu64 ".", e->self.s, key, ms, epoch_of(e));
   }
   return OK;
@@ -427,12 +422,26 @@
   return OK;
 }
 
+void vane_timed(vane *v, id type, const char *key, double ms) {
+  Wire__Timed t = WIRE__TIMED__INIT, *tp = &t;
+  Wire__Rates q = WIRE__RATES__INIT;
+  t.type = type.s; t.key = (char *)key; t.ms = (uint64_t)ms;
+  q.nonce = v->s.nonce; q.n_timed = 1; q.timed = &tp;
+  Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_RATES, &q);
+  site_cast_all(&v->s, ROLE_VANE, &m);
+}
+
+void vane_rates_heard(vane *v, const Wire__Rates *q) {
+  for (size_t i = 0; !q->whole && i < q->n_rates; i++)
+    if (strlen(q->rates[i]->key) < KEY_MOST) history_heard(&v->h, q->nonce, q->rates[i]->key, q->rates[i]->total, q->rates[i]->window);
+  for (size_t i = 0; i < q->n_timed; i++)
+    if (id_fits(str_of(q->timed[i]->type)) && strlen(q->timed[i]->key) < KEY_MOST && q->timed[i]->ms < 600000)
+      history_timed(&v->h, id_c(q->timed[i]->type), q->timed[i]->key, (double)q->timed[i]->ms);
+}
+
 static int on_rates(void *ctx, Wire__Envelope *in, reply *o, err *e) {
-  vane *v = ctx;
   (void)o; (void)e;
-  Wire__Rates *q = in->rates;
-  for (size_t i = 0; i < q->n_rates; i++) if (strlen(q->rates[i]->key) < 100) history_heard(&v->h, q->nonce, q->rates[i]->key, q->rates[i]->total, q->rates[i]->window);
-  for (size_t i = 0; i < q->n_timed; i++) if (id_fits(str_of(q->timed[i]->type)) && strlen(q->timed[i]->key) < 100) history_timed(&v->h, id_c(q->timed[i]->type), q->timed[i]->key, q->timed[i]->ms);
+  vane_rates_heard(ctx, in->rates);
   return OK;
 }
 
@@ -458,7 +467,7 @@
     Wire__Rates q = WIRE__RATES__INIT;
     q.nonce = v->s.nonce; q.n_rates = all->len; q.rates = (Wire__Rate **)all->pdata;
     Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_RATES, &q);
-    if (all->len) list_each(x, &v->s.machines, machine, n) if (x->role == ROLE_VANE && !x->gone) site_cast(&v->s, x->addr, &m);
+    if (all->len) site_cast_all(&v->s, ROLE_VANE, &m);
     g_ptr_array_free(all, TRUE);
   }
 }
--- a/lib/vane/vane.h
+++ b/lib/vane/vane.h
@@ -147,6 +147,10 @@
 /** The load time to reckon with. */
 double item_penalty(vane *v, id type, id model, id adapter);
 
+/** Tells all vanes how long a load took; and takes in what another tells of loads and of what it routed. */
+void vane_timed(vane *v, id type, const char *key, double ms);
+void vane_rates_heard(vane *v, const Wire__Rates *q);
+
 /* route.c */
 void route_serve(void *ctx, ask *a);
 #endif
