Sight: a drain says which requests it leaves, and when and where they came in

Which request of its connection it was, how long after the order to stop it was taken, and its phase; and how many connections this side broke off under a request (log, metrics). The drain has a module of its own.

--- a/emulator/connections.c
+++ b/emulator/connections.c
@@ -45,6 +45,7 @@
   exchange *now; /* at the caller: whose answer is awaited */
   exchange *serving;
   pipe to_b, to_a;
+  unsigned requests;
   int refs;
 };
 
@@ -378,6 +379,7 @@
     *colon = 0;
   request->reply_fields = g_string_new(NULL);
   request->came = channel->sim->now;
+  request->nth = ++channel->requests;
   g_strlcpy(request->caller_addr, channel->a->addr, sizeof request->caller_addr);
   fill_head(&request->own_fields, request->fields);
   request->body = g_string_new_len(exchange->body->str, exchange->body->len);
@@ -441,6 +443,8 @@
   channel *channel = exchange->channel;
   if (channel->b->world.tasks.dead || request->gone || exchange->end_sent || !channel->open_b)
     return;
+  if (request->ended && !request->clean && channel->listener)
+    channel->listener->broken_off++;
   if (!request->began) {
     if (!request->ended)
       return;
--- a/lib/common/http.c
+++ b/lib/common/http.c
@@ -51,6 +51,7 @@
   http_parser parser;
   GString *ahead;
   struct sockaddr_in from;
+  unsigned requests;
   bool lingers, reading_paused;
   list_node all;
 } server;
@@ -295,6 +296,7 @@
   v->url = g_string_sized_new(64);
   request->world = http->world;
   request->listener = server->listener;
+  request->nth = ++server->requests;
   request->body = g_string_new(NULL);
   request->out = g_string_new(NULL);
   request->fields = g_string_sized_new(256);
@@ -694,6 +696,12 @@
   g_string_append_len(g, "\r\n", 2);
 }
 
+/* the answer in hand will never be whole; -1, to close */
+static int server_break_off(server *server) {
+  server->listener->broken_off++;
+  return -1;
+}
+
 /* what the task has said and the socket takes; -1 to close */
 static int server_write(server *server) {
   for (;;) {
@@ -715,14 +723,16 @@
       continue;
     }
     bool broke = request->ended && !request->clean;
-    if (!request->began || (broke && !visit->head_sent))
-      return broke ? -1 : 0;
+    if (broke && !visit->head_sent)
+      return server_break_off(server);
+    if (!request->began)
+      return 0;
     if (visit->head_sent && !request->out->len) {
       if (broke) {
         struct linger l = { 1, 0 };
         if (!visit->chunked)
           setsockopt(server->conn.sim.fd, SOL_SOCKET, SO_LINGER, &l, sizeof l);
-        return -1;
+        return server_break_off(server);
       }
       if (!request->ended)
         return 0;
--- a/lib/common/world.h
+++ b/lib/common/world.h
@@ -54,8 +54,9 @@
   /** Exchanges whose request was read whole and that are not answered yet; and channels that are
    * open. */
   int exchanges, channels;
-  /** Whole requests that came in. */
-  uint64_t requests;
+  /** Whole requests that came in; and channels that this side closed before the answer to a request
+   * in hand was whole. */
+  uint64_t requests, broken_off;
   void *impl;
 } http_listener;
 
@@ -74,6 +75,8 @@
   fields *reply_fields;
   /** When the last byte of the request was read. */
   time_us came;
+  /** Which request of its connection it is; 1 for the first. */
+  unsigned nth;
   /** The channel ends after this answer. */
   bool shut;
   char *method, *path, *query;
--- a/lib/gateway/forward.c
+++ b/lib/gateway/forward.c
@@ -17,7 +17,8 @@
   STEP_MS = 200,
   SHUN_MS = 150,
   AGE_MS = 400,
-  SILENCE_MS = 2000
+  SILENCE_MS = 2000,
+  OPEN_LINES_MOST = 40
 };
 
 /** What became of one attempt. */
@@ -33,7 +34,7 @@
 
 /** A request on its way. */
 typedef struct inflight_request {
-  list_node queue_link;
+  list_node queue_link, open_link;
   condition wake;
   gateway *gateway;
   http_request *http;
@@ -972,6 +973,28 @@
            flight->text ? flight->text : "not served\n");
 }
 
+static const char *phase(const inflight_request *flight) {
+  return flight->http->began      ? "its answer has begun"
+         : !flight->slot.instance ? "it waits for an engine"
+         : flight->sends          ? "it was sent to an engine"
+                                  : "an engine is chosen";
+}
+
+void forward_report_open(gateway *gateway) {
+  int lines = 0;
+  list_for_each(flight, &gateway->open_requests, inflight_request, open_link) {
+    if (lines++ >= OPEN_LINES_MOST)
+      return;
+    log_info(&gateway->router->node.log, "gateway",
+             "Request %s of %s is left: number %u of its connection, taken %" PRId64
+             " ms after the order to stop, %" PRId64 " ms ago; %s (%s).",
+             flight->request, flight->route->name.text, flight->http->nth,
+             time_sub(flight->since, gateway->drain_at).us / 1000,
+             (int64_t)ms_since(flight, flight->since), phase(flight),
+             flight->slot.instance ? flight->slot.instance->self.text : "-");
+  }
+}
+
 /* the fields that stay as they came; the others are added for each attempt */
 static void base_fields(inflight_request *flight) {
   const char *skip[] = {
@@ -1050,6 +1073,7 @@
   } else {
     base_fields(&f);
     gateway->open++;
+    list_append(&gateway->open_requests, &f.open_link);
     if (gateway->canary)
       take_part(&f);
     int code = interpret(&f);
@@ -1064,6 +1088,7 @@
     if (f.part.run)
       canary_note(gateway, &f.part, route, f.begun_ms, told);
     gateway->open--;
+    list_remove(&f.open_link);
   }
   if (f.slot.instance)
     release(&f, &f.slot, true);
--- a/lib/gateway/gateway.c
+++ b/lib/gateway/gateway.c
@@ -1,6 +1,6 @@
 #include "gateway.h"
 
-enum { UNREADY_MS = 2600, GRACE_MS = 8000, LAST_MS = 400, REFUSE_MS = 1200, KEPT_IDLE_MS = 4000 };
+enum { KEPT_IDLE_MS = 4000 };
 
 static void bounds(gateway *gateway) {
   http_listener *listener = &gateway->front;
@@ -76,6 +76,7 @@
   g->settings = *x;
   list_init(&g->instances);
   list_init(&g->queue);
+  list_init(&g->open_requests);
   condition_init(&g->moved);
   condition_init(&g->over);
   g->instance_at = g_hash_table_new(g_str_hash, g_str_equal);
@@ -116,45 +117,6 @@
   return r ? r : world->door_open(world, &gateway->ready, err);
 }
 
-static void drain_run(void *p) {
-  gateway *gateway = p;
-  world *world = gateway->router->node.world;
-  int64_t grace = gateway->settings.grace_ms > 0 ? gateway->settings.grace_ms : GRACE_MS;
-  time_us last = time_add(gateway->drain_at, time_from_ms(MAX(grace - LAST_MS, 500))),
-          refuse = time_add(gateway->drain_at, time_from_ms(MAX(grace - REFUSE_MS, 300)));
-  if (!world_sleep(world, time_from_ms(MIN(UNREADY_MS, grace / 2))))
-    return;
-  world->door_shut(world, &gateway->front);
-  world->door_end(world, &gateway->front);
-  while ((gateway->open || gateway->front.exchanges) && !time_reached(world_now(world), last)) {
-    if (!gateway->ending && time_reached(world_now(world), refuse)) {
-      gateway->ending = true;
-      condition_broadcast(&gateway->moved);
-    }
-    if (!world_sleep(world, time_from_ms(50)))
-      return;
-  }
-  /* the last answers are still on their way out; a kept channel that is left must not bring one
-   * more request */
-  world->door_end(world, &gateway->front);
-  if (!world_sleep(world, time_from_ms(100)))
-    return;
-  log_info(&gateway->router->node.log, "gateway", "Drained, %d requests left.", gateway->open);
-  condition_broadcast(&gateway->over);
-}
-
-void gateway_drain(gateway *gateway) {
-  if (gateway->draining)
-    return;
-  gateway->draining = gateway->front.leaving = true;
-  gateway->router->drain = true;
-  node_leave(&gateway->router->node);
-  gateway->drain_at = world_now(gateway->router->node.world);
-  log_info(&gateway->router->node.log, "gateway", "Asked to stop, %d requests are open.",
-           gateway->open);
-  task_start(&gateway->router->node.world->tasks, "leave", drain_run, gateway);
-}
-
 void gateway_reread(gateway *gateway, const gateway_settings *x) {
   gateway_settings was = gateway->settings;
   gateway->settings = *x;
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -131,11 +131,12 @@
   int load_fails;      /* loads that failed since the last one that came up */
   bool draining, told; /* told: engines are known from a core machine at least once */
   time_us drain_at;
-  int open;            /* requests under way */
-  bool ending;         /* the grace is nearly over: what waits is refused */
-  list_node queue;     /* requests that wait for an engine, in the order of their turn */
-  GHashTable *traffic; /* service -> traffic */
-  GHashTable *budgets; /* service -> budget */
+  int open;                /* requests under way */
+  bool ending;             /* the grace is nearly over: what waits is refused */
+  list_node queue;         /* requests that wait for an engine, in the order of their turn */
+  list_node open_requests; /* all requests under way, in the order in which they were taken */
+  GHashTable *traffic;     /* service -> traffic */
+  GHashTable *budgets;     /* service -> budget */
   GHashTable *wants; /* "service/model+adapter" -> struct want_job: loads asked for by this node */
   gateway_counts counts;
   condition over;
@@ -156,8 +157,8 @@
 gateway *gateway_new(router *router, const gateway_settings *x, error *err);
 /** Opens the listeners. */
 int gateway_open(gateway *gateway, error *err);
-/** Says not ready, answers with "Connection: close", ends when all is served or the grace is over;
- * `over` is signalled then. */
+/** drain.c: says not ready, answers with "Connection: close", ends when all is served or the grace
+ * is over; `over` is signalled then. */
 void gateway_drain(gateway *gateway);
 void gateway_free(gateway *gateway);
 /** Takes a new settings' bounds. */
@@ -262,6 +263,8 @@
 
 /* forward.c: the way of a request */
 void forward_serve(void *ctx, http_request *request);
+/** Logs each request that is under way, with what an end of the process now would mean for it. */
+void forward_report_open(gateway *gateway);
 /** Gives places that came free to requests that wait for them. */
 void forward_start(gateway *gateway);
 traffic *traffic_of(gateway *gateway, const service *service);
--- a/lib/gateway/status.c
+++ b/lib/gateway/status.c
@@ -112,10 +112,11 @@
       "\nasterfall_gateway_refused %" PRIu64 "\nasterfall_gateway_failed %" PRIu64
       "\nasterfall_gateway_left %" PRIu64 "\nasterfall_gateway_not_found %" PRIu64
       "\nasterfall_gateway_attempts %" PRIu64 "\nasterfall_gateway_retries %" PRIu64
-      "\nasterfall_gateway_resumed %" PRIu64
+      "\nasterfall_gateway_resumed %" PRIu64 "\nasterfall_gateway_broken_off %" PRIu64
       "\nasterfall_gateway_open %d\nasterfall_gateway_engines %d\nasterfall_gateway_loads %" PRIu64
       "\nasterfall_gateway_loads_failed %" PRIu64 "\nasterfall_gateway_ready %d\n",
       n->requests, n->served, n->refused, n->failed, n->left, n->no_route, n->attempts, n->seconds,
-      n->resumed, gateway->open, up, n->loads, n->failed_loads, !gateway_unready(gateway));
+      n->resumed, gateway->front.broken_off, gateway->open, up, n->loads, n->failed_loads,
+      !gateway_unready(gateway));
   canary_metrics(gateway, to);
 }
