--- a/emulator/connections.c
+++ b/emulator/connections.c
@@ -488,6 +488,12 @@
     leave_b(channel);
     return;
   }
+  /* the process may have begun to leave after the head was sent */
+  if (channel->listener && channel->listener->leaving) {
+    pipe_send(&channel->to_a, P_CLOSE, NULL, NULL, 0, NULL, 0, false);
+    leave_b(channel);
+    return;
+  }
   channel->idle_b = channel->sim->now;
   if (!channel->listener || !channel->listener->idle_ms || channel->watched)
     return;
--- a/lib/common/http.c
+++ b/lib/common/http.c
@@ -642,9 +642,11 @@
     visit_free(visit);
 }
 
-/* the answer is over: the next request, which may have come, is read */
+/* The answer is over: the next request, which may have come, is read. Whether this process leaves
+ * is asked now, since it may have begun to leave after the answer's head was written. A request
+ * that was read behind the answer gets an answer of its own. */
 static int server_next(server *server) {
-  bool close = server->visit->close;
+  bool close = server->visit->close || (server->listener->leaving && !server->ahead);
   visit_leave(server->visit, false);
   if (close) {
     server_finish(server);
--- a/lib/common/world.h
+++ b/lib/common/world.h
@@ -48,8 +48,8 @@
   int64_t header_ms, idle_ms;
   /** More channels than this are reset; 0: no bound. */
   int channels_most;
-  /** Set while this process leaves: answers carry "Connection: close", and their channels end after
-   * them. */
+  /** Set while this process leaves: answers carry "Connection: close", and channels end after the
+   * answer that is under way, also when its head was sent before. */
   bool leaving;
   /** Exchanges whose request was read whole and that are not answered yet; and channels that are
    * open. */
--- a/lib/gateway/drain.c
+++ b/lib/gateway/drain.c
@@ -14,6 +14,7 @@
           refuse = time_add(gateway->drain_at, time_from_ms(MAX(grace - REFUSE_MS, 300)));
   if (!world_sleep(world, time_from_ms(MIN(UNREADY_MS, grace / 2))))
     return;
+  gateway->shut = true;
   world->door_shut(world, &gateway->front);
   world->door_end(world, &gateway->front);
   while ((gateway->open || gateway->front.exchanges) && !time_reached(world_now(world), last)) {
--- a/lib/gateway/forward.c
+++ b/lib/gateway/forward.c
@@ -18,7 +18,9 @@
   SHUN_MS = 150,
   AGE_MS = 400,
   SILENCE_MS = 2000,
-  OPEN_LINES_MOST = 40
+  OPEN_LINES_MOST = 40,
+  /* other machines are there to ask */
+  LEAVING_BACK_MS = 20
 };
 
 /** What became of one attempt. */
@@ -352,7 +354,7 @@
       break;
     }
     if (world->tasks.dead || gateway->ending) {
-      give_up(flight, 503, 200, "this machine is leaving\n");
+      give_up(flight, 503, LEAVING_BACK_MS, "this machine is leaving\n");
       code = E_LEAVING;
       break;
     }
@@ -1067,9 +1069,9 @@
   f.request = g_strndup(rid.data, rid.length);
   f.rank = came.us + (int64_t)route->priority * AGE_MS * 1000;
   condition_init(&f.wake);
-  if (gateway->ending) {
+  if (gateway->shut) {
     gateway->counts.refused++;
-    answer(gateway, request, 503, 200, left, "this machine is leaving\n");
+    answer(gateway, request, 503, LEAVING_BACK_MS, left, "this machine is leaving\n");
   } else {
     base_fields(&f);
     gateway->open++;
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -131,9 +131,10 @@
   int load_fails;      /* loads that failed since the last one that came up */
   bool draining, told; /* told: engines are known from a core machine at least once */
   time_us drain_at;
-  int open;                /* requests under way */
-  bool ending;             /* the grace is nearly over: what waits is refused */
-  list_node queue;         /* requests that wait for an engine, in the order of their turn */
+  int open;        /* requests under way */
+  bool shut;       /* the listener is shut: no request is taken any more, on any connection */
+  bool ending;     /* the grace is nearly over: what waits is refused */
+  list_node queue; /* requests that wait for an engine, in the order of their turn */
   list_node open_requests; /* all requests under way, in the order in which they were taken */
   GHashTable *traffic;     /* service -> traffic */
   GHashTable *budgets;     /* service -> budget */
