--- a/Makefile
+++ b/Makefile
@@ -104,6 +104,7 @@
 	scripts/http-check
 	tests/http/bytes_check.py
 	tests/http/fuzz_check.py
+	tests/http/drain_check.py
 	scripts/smoke
 
 .PHONY: check lint
--- a/lib/gateway/drain.c
+++ b/lib/gateway/drain.c
@@ -3,34 +3,63 @@
 #include "gateway.h"
 
 /* The platform needs two missed questions, a second apart, to send no more connections here.
- * REFUSE_MS and LAST_MS count back from the end of the grace. */
-enum { UNREADY_MS = 2600, GRACE_MS = 8000, LAST_MS = 400, REFUSE_MS = 1200 };
+ * REFUSE_MS and LAST_MS count back from the end of the grace; FLUSH_MS is for the last answers,
+ * which are still on their way out. */
+enum {
+  UNREADY_MS = 2600,
+  GRACE_MS = 8000,
+  LAST_MS = 400,
+  REFUSE_MS = 1200,
+  STEP_MS = 50,
+  FLUSH_MS = 100
+};
 
-static void drain_run(void *p) {
-  gateway *gateway = p;
-  world *world = gateway->router->node.world;
+static time_us before_end(const gateway *gateway, int64_t ms, int64_t least_ms) {
   int64_t grace = gateway->settings.grace_ms > 0 ? gateway->settings.grace_ms : GRACE_MS;
-  time_us last = time_add(gateway->drain_at, time_from_ms(MAX(grace - LAST_MS, 500))),
-          refuse = time_add(gateway->drain_at, time_from_ms(MAX(grace - REFUSE_MS, 300)));
-  if (!world_sleep(world, time_from_ms(MIN(UNREADY_MS, grace / 2))))
-    return;
+  return time_add(gateway->drain_at, time_from_ms(MAX(grace - ms, least_ms)));
+}
+
+/* From here on no request is taken on any connection, also not on one whose answer is under way:
+ * its callers are refused at once, while other machines have the time to serve them. */
+static void stop_admission(gateway *gateway) {
+  world *world = gateway->router->node.world;
   gateway->shut = true;
   world->door_shut(world, &gateway->front);
   world->door_end(world, &gateway->front);
+}
+
+/* what waits for a place would not be served any more */
+static void refuse_waiting(gateway *gateway) {
+  gateway->ending = true;
+  condition_broadcast(&gateway->moved);
+}
+
+/* what no engine has begun to answer is answered here */
+static void answer_unbegun(gateway *gateway) {
+  forward_report_open(gateway);
+  gateway->stopped = true;
+  forward_wake_open(gateway);
+}
+
+static void drain_run(void *p) {
+  gateway *gateway = p;
+  world *world = gateway->router->node.world;
+  time_us last = before_end(gateway, LAST_MS, 500), refuse = before_end(gateway, REFUSE_MS, 300),
+          shut = before_end(gateway, 0, 0);
+  shut.us = MIN(gateway->drain_at.us + UNREADY_MS * 1000, (gateway->drain_at.us + shut.us) / 2);
+  if (!world_sleep(world, time_sub(shut, world_now(world))))
+    return;
+  stop_admission(gateway);
   while ((gateway->open || gateway->front.exchanges) && !time_reached(world_now(world), last)) {
-    if (!gateway->ending && time_reached(world_now(world), refuse)) {
-      gateway->ending = true;
-      condition_broadcast(&gateway->moved);
-    }
-    if (!world_sleep(world, time_from_ms(50)))
+    if (!gateway->ending && time_reached(world_now(world), refuse))
+      refuse_waiting(gateway);
+    if (!world_sleep(world, time_from_ms(STEP_MS)))
       return;
   }
-  /* the last answers are still on their way out; a kept channel that is left must not bring one
-   * more request */
   world->door_end(world, &gateway->front);
-  if (!world_sleep(world, time_from_ms(100)))
+  answer_unbegun(gateway);
+  if (!world_sleep(world, time_from_ms(FLUSH_MS)))
     return;
-  forward_report_open(gateway);
   log_info(&gateway->router->node.log, "gateway",
            "Drained, %d requests left, %" PRIu64 " channels broken off.", gateway->open,
            gateway->front.broken_off);
--- a/lib/gateway/forward.c
+++ b/lib/gateway/forward.c
@@ -24,7 +24,16 @@
 };
 
 /** What became of one attempt. */
-enum end { END_DONE, END_AGAIN, END_NOT_SENT, END_NOT_RUN, END_FAILED, END_LATE, END_LEFT };
+enum end {
+  END_DONE,
+  END_AGAIN,
+  END_NOT_SENT,
+  END_NOT_RUN,
+  END_FAILED,
+  END_LATE,
+  END_LEFT,
+  END_STOPPED
+};
 /** A place taken at an engine. */
 typedef struct engine_slot {
   instance *instance;
@@ -198,8 +207,8 @@
 
 /* takes a place elsewhere for one more attempt, when attempts, time and the budget allow it */
 static bool another(inflight_request *flight) {
-  if (flight->sends >= (int)MAX(flight->route->attempts, 1) || flight->http->gone ||
-      left_ms(flight) < 50 || !budget_room(flight->gateway, flight->service))
+  if (flight->gateway->stopped || flight->sends >= (int)MAX(flight->route->attempts, 1) ||
+      flight->http->gone || left_ms(flight) < 50 || !budget_room(flight->gateway, flight->service))
     return false;
   if (flight->slot.instance)
     avoid(flight, flight->slot.instance->self);
@@ -270,6 +279,17 @@
   }
 }
 
+void forward_wake_open(gateway *gateway) {
+  list_for_each(flight, &gateway->open_requests, inflight_request,
+                open_link) if (flight->http->left) condition_broadcast(flight->http->left);
+}
+
+/* at the end of the grace nothing is waited for that has not begun; what has begun goes on as long
+ * as the process does */
+static bool out_of_grace(const inflight_request *flight) {
+  return flight->gateway->stopped && !flight->http->began;
+}
+
 void forward_start(gateway *gateway) {
   task_start(&gateway->router->node.world->tasks, "usher", queue_run, gateway);
 }
@@ -638,6 +658,8 @@
       http_request_end(request, true);
       return END_DONE;
     }
+    if (out_of_grace(flight))
+      return END_STOPPED;
     if (call->ended || call->broken || call->received->len > BODY_MOST)
       return joins(flight) && repeats(flight) && another(flight) ? END_AGAIN : END_FAILED;
     if (time_reached(now, over))
@@ -666,6 +688,8 @@
     }
     if (had > BODY_MOST)
       return END_FAILED;
+    if (out_of_grace(flight))
+      return END_STOPPED;
     if (time_reached(now, over))
       return END_LATE;
     time_us till = over;
@@ -744,6 +768,8 @@
       return !call->sent                          ? END_NOT_SENT
              : repeats(flight) && another(flight) ? END_AGAIN
                                                   : END_FAILED;
+    if (out_of_grace(flight))
+      return call->sent ? END_STOPPED : END_NOT_SENT;
     time_us now = now_of(flight), till = over;
     if (!call->sent) {
       if (time_reached(now, up))
@@ -833,7 +859,7 @@
     flight->maybe = true;
   /* an engine that fails by itself is quick at it: that must not draw more work there */
   bool own = call->status >= 500 && call->status != 504 && !flight->declined,
-       ok = (e == END_DONE && !own) || e == END_NOT_RUN;
+       ok = (e == END_DONE && !own) || e == END_NOT_RUN || e == END_STOPPED;
   if (e == END_LEFT)
     ok = headed || ms_since(flight, from) <
                        MAX(500, 3 * traffic_of(flight->gateway, flight->service)->first_ms);
@@ -900,6 +926,9 @@
     case END_LATE:
       give_up(flight, 504, 0, "the engine gave no answer in time\n");
       return E_DEADLINE;
+    case END_STOPPED:
+      give_up(flight, 502, 0, "this machine has stopped before the engine answered\n");
+      return E_LEAVING;
     case END_LEFT:
       return E_PEER_GONE;
     }
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -134,6 +134,7 @@
   int open;        /* requests under way */
   bool shut;       /* the listener is shut: no request is taken any more, on any connection */
   bool ending;     /* the grace is nearly over: what waits is refused */
+  bool stopped;    /* the grace is over: what no engine has begun to answer gets 502 */
   list_node queue; /* requests that wait for an engine, in the order of their turn */
   list_node open_requests; /* all requests under way, in the order in which they were taken */
   GHashTable *traffic;     /* service -> traffic */
@@ -264,6 +265,8 @@
 
 /* forward.c: the way of a request */
 void forward_serve(void *ctx, http_request *request);
+/** Lets each request under way look again whether the gateway still waits for its engine. */
+void forward_wake_open(gateway *gateway);
 /** Logs each request that is under way, with what an end of the process now would mean for it. */
 void forward_report_open(gateway *gateway);
 /** Gives places that came free to requests that wait for them. */
