--- a/lib/controlplane/controller.c
+++ b/lib/controlplane/controller.c
@@ -5,12 +5,7 @@
 
 enum {
   POLL_MS = 500,
-  POLL_LOOSE_MS = 1000,
-  /* after SIGTERM: the grace when none is told, how long late callers are still answered, and what
-   * is kept of the grace for the exit itself */
-  GRACE_MS = 5500,
-  LINGER_MS = 1500,
-  EXIT_MS = 500
+  POLL_LOOSE_MS = 1000
 };
 
 /* duties: who may order what, granted by the chain, renewed in memory */
@@ -813,66 +808,6 @@
   controller->running = true;
 }
 
-/* a core machine that may take this one's vote: it is there, and has none itself */
-static bool successor_is_known(controller *controller) {
-  const view *view = &controller->core.view;
-  list_for_each(peer, &controller->node.machines, machine, link) {
-    if (peer->role != ROLE_CONTROLLER || peer->gone || peer->leaving)
-      continue;
-    bool votes = false;
-    for (int i = 0; i < view->voter_count; i++)
-      votes |= id_equal(view->voters[i].self, peer->self);
-    if (!votes)
-      return true;
-  }
-  return false;
-}
-
-/* what a member owes the others before it ends: a chain that is whole without it, which the others
- * decide on only once one of them holds all that it holds; and its vote, when there is one to take
- * it */
-static bool handed_over(controller *controller) {
-  core *core = &controller->core;
-  if (!core->running || !core->view.epoch || core_chain_limit(core) == 1)
-    return true;
-  if (core_place(core) >= 0)
-    return false;
-  return core_voter_index(core) < 0 || !successor_is_known(controller);
-}
-
-static void drain_run(void *p) {
-  controller *controller = p;
-  int64_t grace = controller->node.settings.grace_ms > 0 ? controller->node.settings.grace_ms
-                                                         : GRACE_MS,
-          linger = controller->has_control ? LINGER_MS : 0;
-  time_us latest = time_add(world_now(controller->node.world),
-                            time_from_ms(MAX(grace - linger - EXIT_MS, EXIT_MS)));
-  while (!handed_over(controller) && !time_reached(world_now(controller->node.world), latest))
-    if (!world_sleep(controller->node.world, time_from_ms(100)))
-      return;
-  log_info(&controller->node.log, "core", "%s, stopping.",
-           core_place(&controller->core) < 0 ? "Out of the chain" : "Still in the chain");
-  /* late callers are answered, and told where the core is now */
-  if (linger && !world_sleep(controller->node.world, time_from_ms(linger)))
-    return;
-  controller->code = OK;
-  condition_broadcast(&controller->over);
-}
-
-void controller_drain(controller *controller) {
-  if (controller->core.draining)
-    return;
-  controller->core.draining = true;
-  if (controller->has_control) {
-    controller->control.leaving = controller->node.leaving = true;
-    Wire__Beat b = WIRE__BEAT__INIT;
-    Wire__Envelope w = wire_msg(WIRE__ENVELOPE__BODY_BEAT, &b);
-    list_for_each(peer, &controller->node.machines, machine, link) if (!peer->gone)
-        node_send(&controller->node, peer->addr, &w);
-  }
-  task_start(&controller->node.world->tasks, "drain", drain_run, controller);
-}
-
 controller *controller_new(world *world, const settings *settings) {
   controller *m = g_new0(controller, 1);
   condition_init(&m->over);
--- /dev/null
+++ b/lib/controlplane/drain.c
@@ -0,0 +1,95 @@
+/** The planned end of a core machine: it leaves the chain, hands its vote over, and ends once every
+ * call that it has read is answered. Times are in milliseconds. */
+#include "controller.h"
+
+/* The grace when none is told. Of its end, LINGER_MS is for late callers, who are told where the
+ * core is now, LAST_CALLS_MS for the answers to calls that were read before the listener was shut
+ * (a call is answered within 850 ms, and refused within 600 ms by a machine that is out of the
+ * chain), and EXIT_MS for the exit itself. */
+enum {
+  GRACE_MS = 5500,
+  LINGER_MS = 1000,
+  LAST_CALLS_MS = 900,
+  EXIT_MS = 100,
+  HANDOVER_LEAST_MS = 500,
+  STEP_MS = 100,
+  LAST_STEP_MS = 20
+};
+
+/* a core machine that may take this one's vote: it is there, and has none itself */
+static bool successor_is_known(controller *controller) {
+  const view *view = &controller->core.view;
+  list_for_each(peer, &controller->node.machines, machine, link) {
+    if (peer->role != ROLE_CONTROLLER || peer->gone || peer->leaving)
+      continue;
+    bool votes = false;
+    for (int i = 0; i < view->voter_count; i++)
+      votes |= id_equal(view->voters[i].self, peer->self);
+    if (!votes)
+      return true;
+  }
+  return false;
+}
+
+/* what a member owes the others before it ends: a chain that is whole without it, which the others
+ * decide on only once one of them holds all that it holds; and its vote, when there is one to take
+ * it */
+static bool handed_over(controller *controller) {
+  core *core = &controller->core;
+  if (!core->running || !core->view.epoch || core_chain_limit(core) == 1)
+    return true;
+  if (core_place(core) >= 0)
+    return false;
+  return core_voter_index(core) < 0 || !successor_is_known(controller);
+}
+
+/* late callers are answered for a while; then no call is read any more, and what was read is
+ * answered
+ */
+static void finish_calls(controller *controller) {
+  world *world = controller->node.world;
+  http_listener *control = &controller->control;
+  if (!world_sleep(world, time_from_ms(LINGER_MS)))
+    return;
+  world->door_shut(world, control);
+  world->door_end(world, control);
+  time_us till = time_add(world_now(world), time_from_ms(LAST_CALLS_MS));
+  while (control->exchanges && !time_reached(world_now(world), till))
+    if (!world_sleep(world, time_from_ms(LAST_STEP_MS)))
+      return;
+}
+
+static void drain_run(void *p) {
+  controller *controller = p;
+  world *world = controller->node.world;
+  int64_t grace = controller->node.settings.grace_ms > 0 ? controller->node.settings.grace_ms
+                                                         : GRACE_MS,
+          calls = controller->has_control ? LINGER_MS + LAST_CALLS_MS : 0;
+  time_us latest =
+      time_add(world_now(world), time_from_ms(MAX(grace - calls - EXIT_MS, HANDOVER_LEAST_MS)));
+  while (!handed_over(controller) && !time_reached(world_now(world), latest))
+    if (!world_sleep(world, time_from_ms(STEP_MS)))
+      return;
+  log_info(&controller->node.log, "core", "%s, stopping.",
+           core_place(&controller->core) < 0 ? "Out of the chain" : "Still in the chain");
+  if (controller->has_control)
+    finish_calls(controller);
+  if (world->tasks.dead)
+    return;
+  controller->code = OK;
+  condition_broadcast(&controller->over);
+}
+
+void controller_drain(controller *controller) {
+  if (controller->core.draining)
+    return;
+  controller->core.draining = true;
+  if (controller->has_control) {
+    controller->control.leaving = controller->node.leaving = true;
+    Wire__Beat b = WIRE__BEAT__INIT;
+    Wire__Envelope w = wire_msg(WIRE__ENVELOPE__BODY_BEAT, &b);
+    list_for_each(peer, &controller->node.machines, machine, link) if (!peer->gone)
+        node_send(&controller->node, peer->addr, &w);
+  }
+  task_start(&controller->node.world->tasks, "drain", drain_run, controller);
+}
--- a/tests/drain.c
+++ b/tests/drain.c
@@ -137,11 +137,102 @@
   return deployment_done(deployment, 0.9);
 }
 
+/** Reads of the configuration, one after the other on kept connections, from one machine. */
+typedef struct reader {
+  world *world;
+  char addr[64];
+  int asked, answered, unread;
+  bool stop, done;
+} reader;
+
+static void read_run(void *p) {
+  reader *reader = p;
+  const char *host = "Host: control\r\n";
+  while (!reader->stop && !reader->world->tasks.dead) {
+    fields *fields = g_string_new(host);
+    http_call *call = http_call_open_fields(reader->world, reader->addr, "GET", "/v1/routing",
+                                            fields, string_view_of(""), false, time_never());
+    g_string_free(fields, TRUE);
+    reader->asked++;
+    time_us till = time_add(world_now(reader->world), time_from_ms(2000));
+    GString *got = g_string_new(NULL);
+    bool whole = http_call_read_all(call, got, till) == OK;
+    reader->answered += whole;
+    reader->unread += !whole && !call->sent;
+    g_string_free(got, TRUE);
+    http_call_close(call);
+    world_sleep(reader->world, time_from_ms(whole ? 1 : 100));
+  }
+  reader->done = true;
+}
+
+typedef struct leaver {
+  host *host;
+  int left;
+  bool over;
+} leaver;
+
+static void leaver_run(void *p) {
+  leaver *leaver = p;
+  controller *controller = leaver->host->controller;
+  if (condition_wait(&leaver->host->world.tasks, &controller->over, time_never()) != WAKE_SIGNALLED)
+    return;
+  leaver->left = controller->control.exchanges;
+  leaver->over = true;
+}
+
+/* All controllers are asked to stop, so that a read waits for an acting tail before it is refused.
+ * None that was read may be under way when a process ends. */
+static bool leaving_controllers_answer_what_they_have_read(fleet *fleet) {
+  enum { READERS = 4 };
+  deployment *deployment = deployment_new(fleet, 2, 1);
+  if (!deployment_up(deployment))
+    return deployment_done(deployment, 0);
+  leaver leavers[3];
+  reader readers[3 * READERS];
+  for (int i = 0; i < fleet->controllers; i++) {
+    host *host = fleet->controller[i];
+    leavers[i] = (leaver){ .host = host, .left = -1 };
+    for (int k = 0; k < READERS; k++) {
+      reader *reader = &readers[i * READERS + k];
+      *reader = (struct reader){ .world = &deployment->op_host->world };
+      snprintf(reader->addr, sizeof reader->addr, "%.*s:%d", (int)strcspn(host->addr, ":"),
+               host->addr, host->controller->control.port);
+      task_start(&deployment->op_host->world.tasks, "reader", read_run, reader);
+    }
+    controller_drain(host->controller);
+    task_start(&host->world.tasks, "leaver", leaver_run, &leavers[i]);
+  }
+  deployment->op_host->due = deployment->sim->now;
+  for (int i = 0; i < 1000; i++) {
+    sim_run(deployment->sim, time_from_ms(10));
+    for (int k = 0; k < fleet->controllers; k++)
+      if (leavers[k].over && leavers[k].host->alive)
+        host_kill(leavers[k].host);
+  }
+  for (int i = 0; i < fleet->controllers; i++)
+    if (leavers[i].left)
+      violation(fleet, "%s ended with %d calls that it had read", leavers[i].host->self.text,
+                leavers[i].left);
+  for (int i = 0; i < fleet->controllers * READERS; i++) {
+    readers[i].stop = true;
+    if (readers[i].answered < 2)
+      violation(fleet, "only %d of %d reads were answered", readers[i].answered, readers[i].asked);
+  }
+  sim_run(deployment->sim, time_from_ms(3000));
+  for (int i = 0; i < fleet->controllers; i++)
+    host_start(fleet->controller[i]);
+  sim_run(deployment->sim, time_from_ms(5000));
+  return deployment_done(deployment, 0);
+}
+
 const test_case drain_tests[] = {
   { "a_kept_connection_brings_nothing_after_the_listener_is_shut",
     a_kept_connection_brings_nothing_after_the_listener_is_shut, 1, 1, 50 },
   { "what_has_not_begun_is_answered_at_the_end", what_has_not_begun_is_answered_at_the_end, 1, 1,
     50 },
   { "gateways_stop_under_long_streams", gateways_stop_under_long_streams, 3, 0, 100 },
+  { "leaving_controllers_answer_what_they_have_read",
+    leaving_controllers_answer_what_they_have_read, 2, 0, 50 },
   { NULL, NULL, 0, 0, 0 }
 };
