--- a/tests/drain.c
+++ b/tests/drain.c
@@ -24,13 +24,6 @@
     "\"targetMs\":20000,\"priority\":0,\"service\":\"svc\",\"attempts\":1}],"
     "\"services\":[{\"name\":\"svc\",\"health\":\"/health\"}]}";
 
-static void watch_end(void *p) {
-  fixture *fixture = p;
-  if (condition_wait(&fixture->node->world.tasks, &fixture->gateway->over, time_never()) ==
-      WAKE_SIGNALLED)
-    fixture->over = true;
-}
-
 /** The process ends when its gateway says that it is over, as the program does. */
 static void run_to_the_end(fixture *fixture) {
   for (int i = 0; i < 1000 && !fixture->over; i++)
@@ -64,7 +57,7 @@
  * connection that they have. */
 static bool a_kept_connection_brings_nothing_after_the_listener_is_shut(fleet *fleet) {
   fixture *fixture = fixture_new(fleet, long_routes, true, 2, 8);
-  task_start(&fixture->node->world.tasks, "watch", watch_end, fixture);
+  fixture_watch_end(fixture);
   fixture_request *now[CALLERS];
   for (unsigned i = 0; i < CALLERS; i++)
     now[i] = ask_stream(fixture, 350 + 60 * i);
@@ -98,7 +91,7 @@
  */
 static bool what_has_not_begun_is_answered_at_the_end(fleet *fleet) {
   fixture *fixture = fixture_new(fleet, plain_routes, false, 2, 8);
-  task_start(&fixture->node->world.tasks, "watch", watch_end, fixture);
+  fixture_watch_end(fixture);
   for (int i = 0; i < FIXTURE_ENGINES; i++)
     if (fixture->engines[i])
       fixture->engines[i]->plan->work_ms = LONG_MS;
--- a/tests/fixture.c
+++ b/tests/fixture.c
@@ -245,6 +245,17 @@
   return attempt;
 }
 
+static void end_run(void *p) {
+  fixture *fixture = p;
+  if (condition_wait(&fixture->node->world.tasks, &fixture->gateway->over, time_never()) ==
+      WAKE_SIGNALLED)
+    fixture->over = true;
+}
+
+void fixture_watch_end(fixture *fixture) {
+  task_start(&fixture->node->world.tasks, "watch", end_run, fixture);
+}
+
 int fixture_runs(fixture *fixture, const fixture_request *attempt, bool arrivals) {
   int n = 0;
   for (guint i = 0; i < fixture->log->runs->len; i++) {
--- a/tests/fixture.h
+++ b/tests/fixture.h
@@ -44,6 +44,8 @@
 void fixture_run(fixture *fixture, int64_t ms);
 /** Sends a request; more: further fields, or NULL. */
 fixture_request *fixture_ask(fixture *fixture, const char *target, int64_t left, const char *more);
+/** Notes in fixture->over when the gateway says that it has drained. */
+void fixture_watch_end(fixture *fixture);
 /** The number of runs, or of arrivals, of a request at engines. */
 int fixture_runs(fixture *fixture, const fixture_request *attempt, bool arrivals);
 /** The numbers of the events that came, in order; "bad" when their text is odd. */
--- a/tests/forward.c
+++ b/tests/forward.c
@@ -329,17 +329,10 @@
   return k.done ? k.status : -1;
 }
 
-static void over_run(void *p) {
-  fixture *fixture = p;
-  if (condition_wait(&fixture->node->world.tasks, &fixture->gateway->over, time_never()) ==
-      WAKE_SIGNALLED)
-    fixture->over = true;
-}
-
 static bool a_gateway_leaves_in_order(fleet *fleet) {
   fixture *fixture = fixture_new(fleet, LLM("1", "false"), true, 2, 8);
   expect(fixture, "ready", ready(fixture), 200, 200);
-  task_start(&fixture->node->world.tasks, "watch", over_run, fixture);
+  fixture_watch_end(fixture);
   for (int i = 0; i < 8; i++) {
     fixture_ask(fixture, "/stream/x", 6000, STREAM);
     fixture_run(fixture, 40);
@@ -365,7 +358,7 @@
  * the end would cut */
 static bool a_gateway_ends_its_idle_channels(fleet *fleet) {
   fixture *fixture = fixture_new(fleet, LLM("1", "false"), true, 2, 8);
-  task_start(&fixture->node->world.tasks, "watch", over_run, fixture);
+  fixture_watch_end(fixture);
   for (int i = 0; i < 4; i++)
     fixture_ask(fixture, "/stream/x", 6000, STREAM);
   fixture_run(fixture, 2000);
