--- a/lib/common/real.c
+++ b/lib/common/real.c
@@ -76,9 +76,15 @@
 } wire_in;
 
 static volatile sig_atomic_t asked;
+/* the context whose wait a signal ends */
+static struct lws_context *volatile waiting;
+
+/* a signal that comes just before the wait would else be seen only when the wait is over */
 static void on_signal(int n) {
   (void)n;
   asked = 1;
+  if (waiting)
+    lws_cancel_service(waiting);
 }
 
 static time_us real_now(void *p) {
@@ -908,6 +914,7 @@
 void real_run(world *world, void (*on_term)(void *), void *ctx) {
   real *r = (real *)world;
   struct sigaction s = { .sa_handler = on_signal };
+  waiting = r->ctx;
   sigaction(SIGTERM, &s, NULL);
   sigaction(SIGINT, &s, NULL);
   signal(SIGPIPE, SIG_IGN);
@@ -948,6 +955,7 @@
 
 void real_free(world *world) {
   real *r = (real *)world;
+  waiting = NULL;
   scheduler_kill(&world->tasks);
   lws_sul_schedule(r->ctx, 0, &r->sul, NULL, LWS_SET_TIMER_USEC_CANCEL);
   pthread_mutex_lock(&r->lock);
