--- a/lib/controlplane/drain.c
+++ b/lib/controlplane/drain.c
@@ -43,9 +43,8 @@
   return core_voter_index(core) < 0 || !successor_is_known(controller);
 }
 
-/* late callers are answered for a while; then no call is read any more, and what was read is
- * answered
- */
+/* late callers are answered for a while; then no call is read any more, and what was read gets its
+ * answer */
 static void finish_calls(controller *controller) {
   world *world = controller->node.world;
   http_listener *control = &controller->control;
