--- a/lib/gateway/forward.c
+++ b/lib/gateway/forward.c
@@ -1,3 +1,4 @@
+#include "event_stream.h"
 #include "gateway.h"
 #include <math.h>
 #include <stdio.h>
@@ -67,7 +68,7 @@
   bool joined, unsure;
   uint64_t last_id;
   time_us heard; /* when the last bytes of a stream came */
-  char last_text[32], versions[24];
+  char versions[24];
   /* of an end that is ours */
   int status;
   int64_t back;
@@ -512,33 +513,6 @@
   return false;
 }
 
-/* whole events at the head of what came, as a length; 0 when there is none */
-static size_t whole_events(const char *p, size_t n) {
-  for (size_t i = n; i > 1; i--) {
-    if (p[i - 1] != '\n')
-      continue;
-    if (p[i - 2] == '\n')
-      return i;
-    if (i > 2 && p[i - 2] == '\r' && p[i - 3] == '\n')
-      return i;
-  }
-  return 0;
-}
-
-/** What one event says of itself. */
-typedef struct event_head {
-  bool has_id, has_data;
-  uint64_t id;
-} event_head;
-
-static string_view trimmed(const char *p, const char *end) {
-  while (p < end && *p == ' ')
-    p++;
-  while (end > p && (end[-1] == '\r' || end[-1] == ' '))
-    end--;
-  return (string_view){ p, (size_t)(end - p) };
-}
-
 static void note_versions(inflight_request *flight, string_view v) {
   /* of a list, the last is in force */
   for (size_t i = v.length; i > 0; i--)
@@ -553,42 +527,17 @@
   flight->versions[v.length] = 0;
 }
 
-/* reads one event; gives its length */
-static size_t event_read(inflight_request *flight, const char *p, size_t n, event_head *h,
-                         size_t version_n) {
-  const char *at = p, *end = p + n;
-  *h = (event_head){ 0 };
-  while (at < end) {
-    const char *nl = memchr(at, '\n', (size_t)(end - at));
-    if (!nl)
-      return n;
-    size_t len = (size_t)(nl - at);
-    if (!len || (len == 1 && *at == '\r'))
-      return (size_t)(nl + 1 - p);
-    if (len > 2 && at[0] == 'i' && at[1] == 'd' && at[2] == ':') {
-      string_view v = trimmed(at + 3, nl);
-      char *stop;
-      h->id = strtoull(v.data, &stop, 10);
-      h->has_id = v.length && v.length < sizeof flight->last_text && stop == v.data + v.length;
-    } else if (len > 4 && !memcmp(at, "data", 4))
-      h->has_data = true;
-    else if (len > version_n && at[version_n] == ':' &&
-             !g_ascii_strncasecmp(at, word(flight, DF_WEIGHT_VERSIONS), version_n))
-      note_versions(flight, trimmed(at + version_n + 1, nl));
-    at = nl + 1;
-  }
-  return n;
-}
-
 /* notes what passes, and finds where the part begins that has not been passed on yet; false when
  * the runs don't fit together */
 static bool events_note(inflight_request *flight, const char *p, size_t n, size_t *from) {
-  size_t at = 0, version_n = strlen(word(flight, DF_WEIGHT_VERSIONS));
+  size_t at = 0;
   bool kept = false;
   *from = 0;
   while (at < n) {
     event_head h;
-    size_t len = event_read(flight, p + at, n - at, &h, version_n);
+    size_t len = event_read(p + at, n - at, word(flight, DF_WEIGHT_VERSIONS), &h);
+    if (h.versions.length)
+      note_versions(flight, h.versions);
     if (flight->joined) {
       if (!h.has_id && h.has_data)
         return false;
@@ -627,7 +576,7 @@
       flight->heard = last = flight->slot.instance->last_byte = now;
       again = (time_us){ 0 };
     }
-    size_t n = whole_events(call->received->str, call->received->len), from = 0;
+    size_t n = event_whole(call->received->str, call->received->len), from = 0;
     if (n) {
       if (!events) {
         first_byte(flight, (double)time_sub(now, *sent).us / 1000);
--- a/tests/forward.c
+++ b/tests/forward.c
@@ -1,3 +1,4 @@
+#include "event_stream.h"
 #include "fixture.h"
 #include <stdio.h>
 #include <stdlib.h>
@@ -374,7 +375,41 @@
   return true;
 }
 
+/* events are found whole, whatever their line ends, and say what they are */
+static bool events_are_read(fleet *fleet) {
+  static const struct {
+    const char *text;
+    size_t whole, first;
+    bool has_id, has_data;
+    uint64_t id;
+    const char *versions;
+  } cases[] = {
+    { "id: 7\ndata: x\n\nid: 8\n", 15, 15, true, true, 7, "" },
+    { "id: 7\r\ndata: x\r\n\r\n", 18, 18, true, true, 7, "" },
+    { "data: x\n", 0, 8, false, true, 0, "" },
+    { "id: 7x\ndata: x\n\n", 16, 16, false, true, 7, "" },
+    { "id:\n\n", 5, 5, false, false, 0, "" },
+    { "Versions: 12\nid: 3\ndata: x\n\n", 28, 28, true, true, 3, "12" },
+    { ": note\n\n", 8, 8, false, false, 0, "" },
+    { "\n\n", 2, 1, false, false, 0, "" },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+    size_t n = strlen(cases[i].text);
+    event_head head;
+    size_t whole = event_whole(cases[i].text, n),
+           first = event_read(cases[i].text, n, "versions", &head);
+    if (whole != cases[i].whole || first != cases[i].first)
+      violation(fleet, "event %zu: whole %zu, first %zu", i, whole, first);
+    if (head.has_id != cases[i].has_id || head.has_data != cases[i].has_data ||
+        (head.has_id && head.id != cases[i].id) ||
+        !string_view_equal(head.versions, string_view_of(cases[i].versions)))
+      violation(fleet, "event %zu is read as another", i);
+  }
+  return true;
+}
+
 const test_case forward_tests[] = {
+  { "events_are_read", events_are_read, 1, 1, 2 },
   { "requests_go_through", requests_go_through, 1, 1, 50 },
   { "streams_go_through", streams_go_through, 1, 1, 50 },
   { "once_is_sent_once", once_is_sent_once, 1, 1, 100 },
