--- a/lib/controlplane/controller.c
+++ b/lib/controlplane/controller.c
@@ -3,10 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-enum {
-  POLL_MS = 500,
-  POLL_LOOSE_MS = 1000
-};
+enum { POLL_MS = 500, POLL_LOOSE_MS = 1000 };
 
 /* duties: who may order what, granted by the chain, renewed in memory */
 typedef struct {
