--- a/Makefile
+++ b/Makefile
@@ -105,6 +105,8 @@
 	tests/http/bytes_check.py
 	tests/http/fuzz_check.py
 	tests/http/drain_check.py
+	$(MAKE) -s build/bin/http-gateway
+	tests/http/fault_check.py
 	scripts/smoke
 
 .PHONY: check lint
--- a/lib/common/real.c
+++ b/lib/common/real.c
@@ -1,4 +1,5 @@
 #include "real.h"
+#include "fault.h"
 #include "http.h"
 #include "sock.h"
 #include <sys/socket.h>
@@ -847,6 +848,7 @@
 }
 
 world *real_new(const real_settings *v, error *err) {
+  fault_reports_install();
   real *r = g_new0(real, 1);
   r->settings = *v;
   scheduler_init(&r->world.tasks, real_now, r);
