--- a/tests/http/drain_check.py
+++ b/tests/http/drain_check.py
@@ -247,4 +247,5 @@
     sys.exit(1 if failures else 0)
 
 
-main()
+if __name__ == "__main__":
+    main()
--- a/tests/http/gateway.c
+++ b/tests/http/gateway.c
@@ -78,6 +78,10 @@
   } else if (!strcmp(request->path, "/drain")) {
     gateway_drain(tested_gateway);
     task_start(&here->tasks, "over", stop_when_drained, NULL);
+  } else if (!strcmp(request->path, "/post")) {
+    char *address = argument(request, "addr");
+    here->post(here, address, string_view_of("a message to a peer"));
+    g_free(address);
   } else if (!strcmp(request->path, "/stop"))
     real_stop(here);
   http_request_answer(request, 200, "text/plain", string_view_of("ok"));
