Connections have one owner each, told when the library destroys them, in every case

Cause: libwebsockets frees a connection that is reset while it is opened without any of its close callbacks. A channel to a peer went by those, and kept a pointer to freed memory: the next message killed, or cleared the owner of, whatever connection had been given that memory.

Ruled out: closing from callbacks, descriptors closed twice.

connection_owner.h says who owns a connection until when; LWS_CALLBACK_WSI_DESTROY, which comes for each of them, ends the ownership, and each use asserts it. The same for calls, requests to our own API and inbound channels.

--- a/Makefile
+++ b/Makefile
@@ -106,6 +106,7 @@
 	tests/http/fuzz_check.py
 	tests/http/drain_check.py
 	$(MAKE) -s build/bin/http-gateway
+	tests/http/peer_check.py
 	tests/http/fault_check.py
 	scripts/smoke
 
--- a/lib/common/real.c
+++ b/lib/common/real.c
@@ -1,6 +1,9 @@
 #include "real.h"
+#include "connection_owner.h"
+#include "dial.h"
 #include "fault.h"
 #include "http.h"
+#include "peer_channels.h"
 #include "sock.h"
 #include <sys/socket.h>
 #include <errno.h>
@@ -17,17 +20,7 @@
 #include <time.h>
 #include <unistd.h>
 
-enum {
-  FILES = 32,
-  MSG_MOST = 8 << 20,
-  LINE_MOST = 16 << 20,
-  PIECE = 16 * 1024,
-  GOT_MOST = 1 << 20,
-  /* a channel to a peer: its first packet is sent again after this, and its opening given up after
-     that */
-  PEER_CONNECT_S = 1,
-  PEER_OPEN_MS = 2500
-};
+enum { FILES = 32, PIECE = 16 * 1024, GOT_MOST = 1 << 20 };
 
 typedef struct job {
   list_node link;
@@ -37,19 +30,6 @@
   bool done, orphan;
   condition finished;
 } job;
-typedef struct msg {
-  list_node link;
-  size_t len;
-  unsigned char *buf;
-} msg;
-typedef struct peer {
-  char addr[48];
-  struct lws *wsi;
-  list_node out;
-  size_t held;
-  time_us tried;
-  bool up;
-} peer;
 typedef struct real {
   world world;
   real_settings settings;
@@ -57,7 +37,7 @@
   struct lws_vhost *host;
   http_engine *http;
   lws_sorted_usec_list_t sul;
-  GHashTable *peers;
+  peer_channels *peers;
   int fd[FILES];
   pthread_t hand;
   pthread_mutex_t lock;
@@ -66,15 +46,19 @@
   bool stop, quit;
 } real;
 
+/** A request to our own API, from its head to the end of its answer. */
 typedef struct chan {
+  connection_owner owner;
   http_request *request;
   bool begun, served, sent_head, plain;
-  struct lws *wsi;
   real *real;
 } chan;
-typedef struct wire_in {
-  GString *got;
-} wire_in;
+
+/** The connection of a call of ours that is not kept for others. */
+typedef struct outgoing_call {
+  connection_owner owner;
+  http_call *call;
+} outgoing_call;
 
 static volatile sig_atomic_t asked;
 /* the context whose wait a signal ends */
@@ -270,7 +254,7 @@
   if (!request->ended)
     http_request_end(request, false);
   c->served = true;
-  if (!c->wsi) {
+  if (!c->owner.wsi) {
     http_request_free(request);
     g_free(c);
   }
@@ -279,7 +263,7 @@
 static void chan_drop(chan *c) {
   if (!c->begun)
     c->served = true;
-  c->wsi = NULL;
+  connection_owner_detach(&c->owner);
   c->request->gone = true;
   condition_broadcast(&c->request->drained);
   if (c->served) {
@@ -288,14 +272,18 @@
   }
 }
 
+static void chan_destroyed(connection_owner *owner) {
+  chan_drop((chan *)owner);
+}
+
 static void real_push(http_request *request) {
   if (request->listener) {
     http_engine_push(((real *)request->world)->http, request);
     return;
   }
   chan *c = request->impl;
-  if (c && c->wsi)
-    lws_callback_on_writable(c->wsi);
+  if (c && c->owner.wsi)
+    lws_callback_on_writable(connection_owner_wsi(&c->owner));
 }
 
 static const struct {
@@ -342,7 +330,8 @@
   g_free(enc);
   request->impl = c;
   c->request = request;
-  c->wsi = wsi;
+  c->owner.on_destroyed = chan_destroyed;
+  connection_owner_attach(&c->owner, wsi);
   c->real = real;
   *pc = c;
   lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
@@ -366,26 +355,26 @@
   unsigned char buf[LWS_PRE + PIECE], *p = buf + LWS_PRE, *end = buf + sizeof buf;
   c->sent_head = true;
   c->plain = request->ended && request->clean;
-  if (lws_add_http_header_status(c->wsi, request->status, &p, end))
+  if (lws_add_http_header_status(c->owner.wsi, request->status, &p, end))
     return -1;
   for (int k = 0; k < HEADER_COUNT; k++) {
     if (!request->own_reply_fields.values[k])
       continue;
     char name[40];
     snprintf(name, sizeof name, "%s:", http_header_name[k]);
-    if (lws_add_http_header_by_name(c->wsi, (unsigned char *)name,
+    if (lws_add_http_header_by_name(c->owner.wsi, (unsigned char *)name,
                                     (unsigned char *)request->own_reply_fields.values[k],
                                     strlen(request->own_reply_fields.values[k]), &p, end))
       return -1;
   }
-  if (request->too_large && lws_add_http_header_by_token(c->wsi, WSI_TOKEN_CONNECTION,
+  if (request->too_large && lws_add_http_header_by_token(c->owner.wsi, WSI_TOKEN_CONNECTION,
                                                          (unsigned char *)"close", 5, &p, end))
     return -1;
-  if (c->plain ? lws_add_http_header_content_length(c->wsi, request->out->len, &p, end)
-               : lws_add_http_header_by_token(c->wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING,
+  if (c->plain ? lws_add_http_header_content_length(c->owner.wsi, request->out->len, &p, end)
+               : lws_add_http_header_by_token(c->owner.wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING,
                                               (unsigned char *)"chunked", 7, &p, end))
     return -1;
-  if (lws_finalize_write_http_header(c->wsi, buf + LWS_PRE, &p, end))
+  if (lws_finalize_write_http_header(c->owner.wsi, buf + LWS_PRE, &p, end))
     return -1;
   return 0;
 }
@@ -399,7 +388,7 @@
   if (!c->sent_head) {
     if (http_head(c))
       return -1;
-    lws_callback_on_writable(c->wsi);
+    lws_callback_on_writable(c->owner.wsi);
     return 0;
   }
   size_t n = request->out->len < PIECE ? request->out->len : PIECE;
@@ -423,14 +412,14 @@
   }
   bool last = over && request->clean;
   size_t size = p - buf - LWS_PRE;
-  if (size &&
-      lws_write(c->wsi, buf + LWS_PRE, size, last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP) < 0)
+  if (size && lws_write(c->owner.wsi, buf + LWS_PRE, size,
+                        last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP) < 0)
     return -1;
   condition_broadcast(&request->drained);
   if (last)
     return 1;
   if (request->out->len || request->ended)
-    lws_callback_on_writable(c->wsi);
+    lws_callback_on_writable(c->owner.wsi);
   return 0;
 }
 
@@ -438,6 +427,9 @@
                    size_t len) {
   chan **pc = user;
   switch (why) {
+  case LWS_CALLBACK_WSI_DESTROY:
+    connection_owner_destroyed(wsi);
+    return 0;
   case LWS_CALLBACK_HTTP: {
     real *real = lws_context_user(lws_get_context(wsi));
     if (*pc) {
@@ -484,19 +476,26 @@
 }
 
 /* from us: HTTP */
+static http_call *call_of(struct lws *wsi) {
+  outgoing_call *outgoing = (outgoing_call *)connection_owner_of(wsi);
+  return outgoing ? outgoing->call : NULL;
+}
+
+/* the connection of a call is gone; what has come until then is all that comes */
+static void outgoing_call_destroyed(connection_owner *owner) {
+  outgoing_call *outgoing = (outgoing_call *)owner;
+  http_call *call = outgoing->call;
+  call->impl = NULL;
+  call->broken = !call->ended;
+  condition_broadcast(&call->news);
+  g_free(outgoing);
+}
+
 static int call_cb(struct lws *wsi, enum lws_callback_reasons why, void *user, void *in,
                    size_t len) {
-  http_call *call = lws_get_opaque_user_data(wsi);
+  http_call *call = call_of(wsi);
   (void)user;
   switch (why) {
-  case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
-    if (call) {
-      call->broken = true;
-      call->impl = NULL;
-      lws_set_opaque_user_data(wsi, NULL);
-      condition_broadcast(&call->news);
-    }
-    return 0;
   case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER: {
     if (!call || time_reached(world_now(call->world), call->send_by))
       return -1;
@@ -568,7 +567,7 @@
     call->reading = recv(lws_get_socket_fd(wsi), &peek, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
     n = lws_http_client_read(wsi, &p, &n);
     /* the call may have been dropped meanwhile */
-    if (lws_get_opaque_user_data(wsi) == call)
+    if (call_of(wsi) == call)
       call->reading = false;
     return n < 0 ? -1 : 0;
   }
@@ -590,55 +589,11 @@
     if (call)
       condition_broadcast(&call->news);
     return -1;
-  case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
-    if (call) {
-      if (!call->ended)
-        call->broken = true;
-      call->impl = NULL;
-      lws_set_opaque_user_data(wsi, NULL);
-      condition_broadcast(&call->news);
-    }
-    return 0;
   default:
     return lws_callback_http_dummy(wsi, why, user, in, len);
   }
 }
 
-static bool split(const char *addr, char *ip, size_t n, int *port) {
-  const char *c = strrchr(addr, ':');
-  if (!c || (size_t)(c - addr) >= n)
-    return false;
-  memcpy(ip, addr, c - addr);
-  ip[c - addr] = 0;
-  *port = atoi(c + 1);
-  return *port > 0;
-}
-
-static struct lws *dial(real *real, const char *addr, const char *verb, const char *path,
-                        const char *proto, void *opaque, struct lws **slot) {
-  char ip[48];
-  int port;
-  if (!split(addr, ip, sizeof ip, &port))
-    return NULL;
-  struct lws_client_connect_info i = { 0 };
-  i.context = real->ctx;
-  i.vhost = real->host;
-  i.address = ip;
-  i.port = port;
-  i.path = path;
-  i.host = addr;
-  i.origin = addr;
-  i.method = verb;
-  i.local_protocol_name = proto;
-  i.protocol = verb ? NULL : proto;
-  i.iface = real->settings.ip[0] ? real->settings.ip : NULL;
-  i.opaque_user_data = opaque;
-  i.pwsi = slot;
-  /* a redirect would be a second try that nobody counted */
-  i.ssl_connection = LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
-  return lws_client_connect_via_info(&i);
-}
-
 static void real_call(http_call *call) {
   real *r = (real *)call->world;
   if (call->kept) {
@@ -649,13 +604,14 @@
     call->broken = true;
     return;
   }
-  struct lws *wsi = NULL;
-  call->impl = NULL;
-  struct lws *got = dial(r, call->addr, call->method, call->path, "call", call, &wsi);
-  if (got && !call->broken)
-    call->impl = got;
-  if (!got)
-    call->broken = true;
+  outgoing_call *outgoing = g_new0(outgoing_call, 1);
+  outgoing->owner.on_destroyed = outgoing_call_destroyed;
+  outgoing->call = call;
+  call->impl = outgoing;
+  dial_target target = { r->ctx,       r->host,    r->settings.ip, call->addr,
+                         call->method, call->path, "call" };
+  if (!dial(&target, &outgoing->owner))
+    outgoing_call_destroyed(&outgoing->owner);
 }
 
 static void real_drop(http_call *call) {
@@ -663,153 +619,24 @@
     http_engine_call_drop(((real *)call->world)->http, call);
     return;
   }
-  struct lws *wsi = call->impl;
-  if (!wsi)
+  outgoing_call *outgoing = call->impl;
+  if (!outgoing)
     return;
-  lws_set_opaque_user_data(wsi, NULL);
+  call->impl = NULL;
+  struct lws *wsi = connection_owner_wsi(&outgoing->owner);
+  connection_owner_detach(&outgoing->owner);
+  g_free(outgoing);
   lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
 }
 
-/* between our processes: one websocket channel each way */
-static void peer_clear(peer *p) {
-  list_for_each(m, &p->out, msg, link) {
-    list_remove(&m->link);
-    g_free(m->buf);
-    g_free(m);
-  }
-  p->held = 0;
-}
-
-/* the library sets no bound of use on the handshake, and the other side may lose power in its
- * middle */
-static void drop_stuck_opening(peer *p, time_us now) {
-  if (!p->wsi || p->up || !time_reached(now, time_add(p->tried, time_from_ms(PEER_OPEN_MS))))
-    return;
-  lws_set_opaque_user_data(p->wsi, NULL);
-  lws_set_timeout(p->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
-  p->wsi = NULL;
-  peer_clear(p);
-}
-
 static void real_post(world *world, const char *addr, string_view bytes) {
-  real *r = (real *)world;
-  if (world->tasks.dead)
-    return;
-  peer *p = g_hash_table_lookup(r->peers, addr);
-  if (!p) {
-    p = g_new0(peer, 1);
-    g_strlcpy(p->addr, addr, sizeof p->addr);
-    list_init(&p->out);
-    p->tried = (time_us){ INT64_MIN / 4 };
-    g_hash_table_insert(r->peers, p->addr, p);
-  }
-  if (p->held + bytes.length > LINE_MOST)
-    return;
-  drop_stuck_opening(p, world_now(world));
-  if (!p->wsi) {
-    if (!time_reached(world_now(world), time_add(p->tried, time_from_ms(100))))
-      return;
-    p->tried = world_now(world);
-    p->up = false;
-    struct lws *wsi = dial(r, addr, NULL, "/peer", "asterfall-peer", p, NULL);
-    if (!wsi)
-      return;
-    p->wsi = wsi;
-    lws_set_timeout(wsi, PENDING_TIMEOUT_AWAITING_CONNECT_RESPONSE, PEER_CONNECT_S);
-  }
-  msg *m = g_new0(msg, 1);
-  m->len = bytes.length;
-  m->buf = g_malloc(LWS_PRE + bytes.length);
-  memcpy(m->buf + LWS_PRE, bytes.data, bytes.length);
-  list_append(&p->out, &m->link);
-  p->held += bytes.length;
-  if (p->up)
-    lws_callback_on_writable(p->wsi);
-}
-
-/* A link that stood through a cut would wait for its next retransmission, which comes later the
- * longer the cut was. The kernel is told to give such a link up, and the next message opens a new
- * one. */
-static void link_guard(struct lws *wsi) {
-  unsigned silence_ms = PEER_SILENT_MS;
-  setsockopt(lws_get_socket_fd(wsi), IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms, sizeof silence_ms);
-}
-
-/* the other end of such a channel only reads, so it has to ask whether anybody is left */
-static void close_when_abandoned(struct lws *wsi) {
-  int fd = lws_get_socket_fd(wsi), yes = 1, idle = 20, each = 5, tries = 3;
-  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &yes, sizeof yes);
-  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
-  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &each, sizeof each);
-  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &tries, sizeof tries);
+  peer_channels_post(((real *)world)->peers, addr, bytes);
 }
 
 static int peer_cb(struct lws *wsi, enum lws_callback_reasons why, void *user, void *in,
                    size_t len) {
   real *real = lws_context_user(lws_get_context(wsi));
-  wire_in *w = user;
-  switch (why) {
-  case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
-  case LWS_CALLBACK_CLIENT_CLOSED: {
-    peer *p = lws_get_opaque_user_data(wsi);
-    if (p) {
-      p->wsi = NULL;
-      p->up = false;
-      peer_clear(p);
-      lws_set_opaque_user_data(wsi, NULL);
-    }
-    return 0;
-  }
-  case LWS_CALLBACK_CLIENT_ESTABLISHED: {
-    peer *p = lws_get_opaque_user_data(wsi);
-    if (!p)
-      return -1;
-    p->up = true;
-    link_guard(wsi);
-    lws_callback_on_writable(wsi);
-    return 0;
-  }
-  case LWS_CALLBACK_CLIENT_WRITEABLE: {
-    peer *p = lws_get_opaque_user_data(wsi);
-    if (!p)
-      return -1;
-    if (list_is_empty(&p->out))
-      return 0;
-    msg *m = list_item(p->out.next, msg, link);
-    list_remove(&m->link);
-    p->held -= m->len;
-    int k = lws_write(wsi, m->buf + LWS_PRE, m->len, LWS_WRITE_BINARY);
-    g_free(m->buf);
-    g_free(m);
-    if (k < 0)
-      return -1;
-    if (!list_is_empty(&p->out))
-      lws_callback_on_writable(wsi);
-    return 0;
-  }
-  case LWS_CALLBACK_ESTABLISHED:
-    close_when_abandoned(wsi);
-    w->got = g_string_new(NULL);
-    return 0;
-  case LWS_CALLBACK_RECEIVE:
-    if (w->got->len + len > MSG_MOST)
-      return -1;
-    g_string_append_len(w->got, in, len);
-    if (lws_is_final_fragment(wsi) && !lws_remaining_packet_payload(wsi)) {
-      if (real->world.on_post && !real->world.tasks.dead)
-        real->world.on_post(real->world.post_ctx, string_view_of_gstring(w->got));
-      g_string_truncate(w->got, 0);
-    }
-    return 0;
-  case LWS_CALLBACK_CLOSED:
-    if (w && w->got) {
-      g_string_free(w->got, TRUE);
-      w->got = NULL;
-    }
-    return 0;
-  default:
-    return lws_callback_http_dummy(wsi, why, user, in, len);
-  }
+  return peer_channels_event(real->peers, wsi, why, user, in, len);
 }
 
 static int sock_cb(struct lws *wsi, enum lws_callback_reasons why, void *user, void *in,
@@ -833,15 +660,10 @@
 
 static const struct lws_protocols protos[] = { { "http", http_cb, sizeof(chan *), 0, 0, NULL, 0 },
                                                { "call", call_cb, 0, PIECE, 0, NULL, 0 },
-                                               { "asterfall-peer", peer_cb, sizeof(wire_in),
-                                                 SOCK_READ, 0, NULL, 0 },
+                                               { PEER_PROTOCOL, peer_cb, 0, SOCK_READ, 0, NULL, 0 },
                                                { SOCK_PROTOCOL, sock_cb, 0, SOCK_READ, 0, NULL, 0 },
                                                { NULL, NULL, 0, 0, 0, NULL, 0 } };
 
-static void peer_free(void *p) {
-  peer_clear(p);
-  g_free(p);
-}
 /* the timer fires inside lws_service, which then would go on to wait for something else */
 static void on_due(lws_sorted_usec_list_t *s) {
   lws_cancel_service(((real *)((char *)s - offsetof(real, sul)))->ctx);
@@ -868,7 +690,6 @@
   r->world.disk_write = real_write;
   r->world.disk_sync = real_sync;
   r->world.body_most = v->body_most ? v->body_most : 1 << 20;
-  r->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
   list_init(&r->jobs);
   list_init(&r->done);
   for (int i = 0; i < FILES; i++)
@@ -903,12 +724,12 @@
     error_set(err, E_LISTEN, "can't listen on %s:%d", v->ip, v->port);
     if (r->ctx)
       lws_context_destroy(r->ctx);
-    g_hash_table_destroy(r->peers);
     scheduler_free(&r->world.tasks);
     g_free(r);
     return NULL;
   }
   r->http = http_engine_new(&r->world, r->host);
+  r->peers = peer_channels_new(&r->world, r->ctx, r->host, r->settings.ip);
   pthread_create(&r->hand, NULL, disk_worker_run, r);
   return &r->world;
 }
@@ -972,7 +793,7 @@
   for (int i = 0; i < FILES; i++)
     if (r->fd[i] >= 0)
       close(r->fd[i]);
-  g_hash_table_destroy(r->peers);
+  peer_channels_free(r->peers);
   scheduler_free(&world->tasks);
   g_free(r);
 }
--- a/lib/common/sock.c
+++ b/lib/common/sock.c
@@ -1,31 +1,37 @@
 #include "sock.h"
 #include <libwebsockets.h>
 
+static void sock_destroyed(connection_owner *owner) {
+  sock *s = (sock *)owner;
+  s->on_closed(s);
+}
+
 bool sock_watch(sock *s, struct lws_vhost *vhost, bool listening) {
   lws_sock_file_fd_type d = { .sockfd = s->fd };
-  s->wsi = lws_adopt_descriptor_vhost(vhost, listening ? LWS_ADOPT_RAW_FILE_DESC : LWS_ADOPT_SOCKET,
-                                      d, SOCK_PROTOCOL, NULL);
-  if (!s->wsi)
+  struct lws *wsi = lws_adopt_descriptor_vhost(
+      vhost, listening ? LWS_ADOPT_RAW_FILE_DESC : LWS_ADOPT_SOCKET, d, SOCK_PROTOCOL, NULL);
+  if (!wsi)
     return false;
-  lws_set_opaque_user_data(s->wsi, s);
-  lws_set_timeout(s->wsi, NO_PENDING_TIMEOUT, 0);
+  s->owner.on_destroyed = sock_destroyed;
+  connection_owner_attach(&s->owner, wsi);
+  lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
   return true;
 }
 
 void sock_want_room(sock *s) {
-  lws_callback_on_writable(s->wsi);
+  lws_callback_on_writable(connection_owner_wsi(&s->owner));
 }
 
 void sock_hear(sock *s, bool yes) {
-  lws_rx_flow_control(s->wsi, yes);
+  lws_rx_flow_control(connection_owner_wsi(&s->owner), yes);
 }
 
 void sock_kill(sock *s) {
-  lws_set_timeout(s->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_SYNC);
+  lws_set_timeout(connection_owner_wsi(&s->owner), PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_SYNC);
 }
 
 int sock_event(struct lws *wsi, int why, void *in, size_t len) {
-  sock *s = lws_get_opaque_user_data(wsi);
+  sock *s = (sock *)connection_owner_of(wsi);
   if (!s)
     return 0;
   switch (why) {
@@ -36,7 +42,8 @@
     return s->on_room(s);
   case LWS_CALLBACK_RAW_CLOSE:
   case LWS_CALLBACK_RAW_CLOSE_FILE:
-    lws_set_opaque_user_data(wsi, NULL);
+    /* the descriptor is about to be closed: nothing may use it any more */
+    connection_owner_detach(&s->owner);
     s->on_closed(s);
     return 0;
   default:
--- a/lib/common/sock.h
+++ b/lib/common/sock.h
@@ -1,12 +1,10 @@
 #ifndef COMMON_SOCK_H
 #define COMMON_SOCK_H
-#include "base.h"
+#include "connection_owner.h"
 
-struct lws;
-struct lws_vhost;
 /** A socket that libwebsockets watches and somebody else reads and writes. */
 typedef struct sock {
-  struct lws *wsi;
+  connection_owner owner;
   int fd;
   /** Bytes that came (none for a listening socket: it may be accepted from), and room to write; -1
    * closes. */
