--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -14,7 +14,8 @@
   list_node link;
   id model;
   uint64_t version;
-  GPtrArray *adapters;      /* char *, owned */
+  GPtrArray *adapters; /* char *, owned */
+  GPtrArray *leaving;  /* char *, owned: adapters ordered away by this node, as unloading says */
   time_us up_at, last_used; /* last_used: when this node last sent a request for it */
   bool unloading;           /* ordered away by this node; no new work, and its room still counts */
   int running;              /* this node's own runs of it */
--- a/lib/gateway/instances.c
+++ b/lib/gateway/instances.c
@@ -64,6 +64,7 @@
 static void resident_free(resident *resident) {
   list_remove(&resident->link);
   g_ptr_array_free(resident->adapters, TRUE);
+  g_ptr_array_free(resident->leaving, TRUE);
   g_free(resident);
 }
 
@@ -76,6 +77,7 @@
   resident *r = g_new0(resident, 1);
   r->model = model;
   r->adapters = g_ptr_array_new_with_free_func(g_free);
+  r->leaving = g_ptr_array_new_with_free_func(g_free);
   r->up_at = now_of(instance);
   list_append(&instance->residents, &r->link);
   if (!g_hash_table_contains(instance->held_before, model.text))
@@ -83,13 +85,32 @@
   return r;
 }
 
-static int adapter_at(const resident *resident, const char *a) {
-  for (guint k = 0; k < resident->adapters->len; k++)
-    if (!strcmp(resident->adapters->pdata[k], a))
+static int name_at(const GPtrArray *names, const char *name) {
+  for (guint k = 0; k < names->len; k++)
+    if (!strcmp(names->pdata[k], name))
       return (int)k;
   return -1;
 }
 
+static int adapter_at(const resident *resident, const char *a) {
+  return name_at(resident->adapters, a);
+}
+
+static void name_remove(GPtrArray *names, const char *name) {
+  int at = name_at(names, name);
+  if (at >= 0)
+    g_ptr_array_remove_index_fast(names, (guint)at);
+}
+
+/* An adapter that is ordered away gets no new work; what an engine reports of it later than the
+ * order can have taken says whether it stayed. */
+static void adapter_leaves(resident *resident, id adapter) {
+  if (adapter_at(resident, adapter.text) < 0)
+    return;
+  name_remove(resident->adapters, adapter.text);
+  g_ptr_array_add(resident->leaving, g_strdup(adapter.text));
+}
+
 static void changed(instance *instance, id model, id adapter, bool up) {
   time_us now = now_of(instance);
   for (guint k = instance->changes->len; k-- > 0;) {
@@ -199,6 +220,9 @@
       g_ptr_array_remove_index_fast(r->adapters, k);
       moved = true;
     }
+    for (guint k = r->leaving->len; k-- > 0;)
+      if (!contradicts(instance, r->model, id_of_text(r->leaving->pdata[k]), true, at, guard_ms))
+        g_ptr_array_remove_index_fast(r->leaving, k);
   }
   for (size_t k = 0; k < n; k++) {
     if (!id_is_valid(string_view_of(m[k]->model)))
@@ -424,6 +448,7 @@
     resident->up_at = now_of(instance);
   else if (adapter_at(resident, adapter.text) < 0)
     g_ptr_array_add(resident->adapters, g_strdup(adapter.text));
+  name_remove(resident->leaving, adapter.text);
   changed(instance, model, adapter, true);
   condition_broadcast(&instance->gateway->moved);
 }
@@ -432,12 +457,13 @@
   resident *resident = resident_any(instance, model);
   if (!resident)
     return;
-  int at = id_is_empty(adapter) ? -1 : adapter_at(resident, adapter.text);
   changed(instance, model, adapter, false);
   if (id_is_empty(adapter))
     resident_free(resident);
-  else if (at >= 0)
-    g_ptr_array_remove_index_fast(resident->adapters, (guint)at);
+  else {
+    name_remove(resident->adapters, adapter.text);
+    name_remove(resident->leaving, adapter.text);
+  }
   condition_broadcast(&instance->gateway->moved);
 }
 
@@ -445,6 +471,8 @@
   resident *resident = resident_any(instance, model);
   if (resident && id_is_empty(adapter))
     resident->unloading = true;
+  else if (resident)
+    adapter_leaves(resident, adapter);
   changed(instance, model, adapter, false);
 }
 
--- a/lib/gateway/loader.c
+++ b/lib/gateway/loader.c
@@ -29,7 +29,11 @@
   CANDS = 96,
   AHEAD_MS = 250,
   COPIES_AT_ONCE = 4,
-  ADAPTER_LOOKS = 12
+  ADAPTER_LOOKS = 12,
+  /* from the announcement of an unload to its order: the others hear of it, and what they have sent
+     meanwhile reaches the engine */
+  ANNOUNCE_MS = 40,
+  ANNOUNCE_AGAIN_MS = 1000
 };
 
 /* copies beyond the next one go only where next to nothing has to make way */
@@ -186,6 +190,9 @@
   *mb = instance->owed_mb;
   *slots = instance->owed_slots;
   list_for_each(r, &instance->residents, resident, link) {
+    for (guint k = 0; k < r->leaving->len; k++)
+      *mb += size_of(service, r->model, id_of_text(r->leaving->pdata[k]));
+    *slots += r->leaving->len;
     for (int k = -1; k < (int)r->adapters->len && n < CANDS; k++) {
       candidate *candidate = &all[n++];
       memset(candidate, 0, sizeof *candidate);
@@ -712,15 +719,26 @@
   history_timed(&instance->gateway->router->history, instance->service, name, ms);
 }
 
+/* tells all nodes that a thing is on its way out, so that they send no more work for it */
+static void announce_unload(instance *instance, id model, id adapter) {
+  instance_going(instance, model, adapter);
+  instance_cast(instance);
+}
+
 /* orders one thing unloaded and waits until the engine confirms it */
 static int unload_until_gone(instance *instance, id model, id adapter, error *err) {
   gateway *gateway = instance->gateway;
-  time_us from = now_of(gateway), began = from;
   bool busy = false, took = false;
   int running = 0, probes = 0, r;
-  instance_going(instance, model, adapter);
-  instance_cast(instance);
+  announce_unload(instance, model, adapter);
+  if ((r = nap(instance, ANNOUNCE_MS, err)))
+    return r;
+  time_us from = now_of(gateway), began = from, announced = from;
   for (;;) {
+    if (since_ms(gateway, announced) > ANNOUNCE_AGAIN_MS) {
+      announce_unload(instance, model, adapter);
+      announced = now_of(gateway);
+    }
     int st = order(instance, false, model, adapter, EXPECT_ANY, time_never(), err);
     if (st == -2)
       return err->code;
@@ -770,8 +788,6 @@
     while (report(instance, &busy, &running, err) && busy && since_ms(gateway, from) < UNLOAD_MS)
       if ((r = nap(instance, 150, err)))
         return r;
-    if (since_ms(gateway, from) > UNLOAD_MS / 4 && (probes % 8) == 0)
-      instance_cast(instance);
   }
   if (took && probes <= 3)
     step_took(instance, "@unload", since_ms(gateway, began));
--- a/tests/loader.c
+++ b/tests/loader.c
@@ -154,6 +154,34 @@
   return true;
 }
 
+/* an adapter that is ordered away is announced as gone at once, so that nobody sends work for it
+ * that the engine must decline; its place counts until the engine has confirmed the order */
+static bool a_leaving_adapter_gets_no_work(fleet *fleet) {
+  bare_gateway *bare = bare_new(fleet);
+  const service *service = routing_service(bare->routing, "s");
+  instance *instance = beat(bare, "e1", "10.0.0.1:80", 1, 0, "big");
+  id big = id_of_text("big"), first = id_of_text("a1"), second = id_of_text("a2");
+  instance_loaded(instance, big, first);
+  instance_loaded(instance, big, second);
+  asked(bare, "big", "a2", 12);
+  sim_run(fleet->sim, time_from_ms(700));
+  instance_going(instance, big, first);
+  WANT(fleet, !instance_holds(instance, big, first) && instance_holds(instance, big, second));
+  double mb, drain;
+  unsigned slots;
+  WANT(fleet,
+       place_cost(instance, service, big, id_of_text("a3"), &mb, &slots, &drain) > 0 && slots == 1);
+  instance_unloaded(instance, big, first);
+  WANT(fleet, place_cost(instance, service, big, id_of_text("a3"), &mb, &slots, &drain) == 0);
+  /* one that is loaded again while it leaves is there again, once */
+  instance_going(instance, big, second);
+  instance_loaded(instance, big, second);
+  WANT(fleet, instance_holds(instance, big, second));
+  WANT(fleet, place_cost(instance, service, big, id_of_text("a3"), &mb, &slots, &drain) == 0);
+  bare_free(bare);
+  return true;
+}
+
 static bool copies_share_a_rate(fleet *fleet) {
   bare_gateway *bare = bare_new(fleet);
   const service *service = routing_service(bare->routing, "s");
@@ -644,6 +672,7 @@
 
 const test_case loader_tests[] = {
   { "room_counts_in_both_measures", room_counts_in_both_measures, 1, 1, 20 },
+  { "a_leaving_adapter_gets_no_work", a_leaving_adapter_gets_no_work, 1, 1, 20 },
   { "copies_share_a_rate", copies_share_a_rate, 1, 1, 20 },
   { "orders_outlast_older_beats", orders_outlast_older_beats, 1, 1, 20 },
   { "failures_shun_and_a_byte_clears", failures_shun_and_a_byte_clears, 1, 1, 20 },
