--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -201,6 +201,9 @@
 void instance_over(instance *instance, const char *why);
 /** How a model, or an adapter on its model, is named in short; never 0. */
 uint32_t run_key(id model, id adapter);
+/** Since when a thing that was loaded by an order of late has been there; 0 when that is long ago
+ * or not known. */
+time_us instance_loaded_at(const instance *instance, id model, id adapter);
 /** True when some node runs something of a model (and adapter) there, as far as is known. */
 bool instance_runs(const instance *instance, id model, id adapter);
 /** True when it gives no sign of life although work was sent there, so that what it holds had
--- a/lib/gateway/instances.c
+++ b/lib/gateway/instances.c
@@ -387,6 +387,15 @@
   return false;
 }
 
+time_us instance_loaded_at(const instance *instance, id model, id adapter) {
+  for (guint k = 0; k < instance->changes->len; k++) {
+    const change_note *c = &g_array_index(instance->changes, change_note, k);
+    if (c->up && id_equal(c->model, model) && id_equal(c->adapter, adapter))
+      return c->at;
+  }
+  return (time_us){ 0 };
+}
+
 bool instance_lost(const instance *instance) {
   if (instance->fails < LOST_FAILS && !instance->suspect)
     return false;
--- a/lib/gateway/loader.c
+++ b/lib/gateway/loader.c
@@ -11,6 +11,9 @@
   REPORT_MS = 800,
   LAG_MS = 450,
   YOUNG_MS = 1000,
+  YOUNG_ADAPTER_MS = 600,
+  /* by then all nodes have told what they had of it */
+  RATE_KNOWN_MS = 4000,
   TICKET_MS = 400,
   LAST_MS = 150,
   UNLOAD_MS = 12000,
@@ -181,11 +184,27 @@
       g_hash_table_lookup(gateway->copies, GUINT_TO_POINTER(run_key(model, adapter))));
 }
 
+/* The rate of what was loaded of late is not in the history yet: nobody could be served with it,
+ * and counts of other nodes come late. It was wanted once at least, so one request in the time
+ * since is its rate at the least. */
+static double rate_since_load(gateway *gateway, time_us loaded_at) {
+  if (!loaded_at.us || since_ms(gateway, loaded_at) > RATE_KNOWN_MS)
+    return 0;
+  return 1000 / MAX(since_ms(gateway, loaded_at), 1000);
+}
+
+/* what came up a moment ago, for requests that are only now told of it */
+static bool just_loaded(gateway *gateway, const resident *resident, id adapter, time_us loaded_at) {
+  if (!id_is_empty(adapter))
+    return loaded_at.us && since_ms(gateway, loaded_at) < YOUNG_ADAPTER_MS;
+  return resident->up_at.us && since_ms(gateway, resident->up_at) < YOUNG_MS &&
+         resident->last_used.us < resident->up_at.us;
+}
+
 /* what is on an engine, as the rule sees it; gives the number of them */
 static int residents_as(instance *instance, const service *service, id model, id adapter,
                         candidate *all, double *mb, unsigned *slots) {
   gateway *gateway = instance->gateway;
-  time_us now = now_of(gateway);
   int n = 0;
   *mb = instance->owed_mb;
   *slots = instance->owed_slots;
@@ -206,17 +225,16 @@
       candidate->slots = k >= 0;
       int copies =
           MAX(1, copies_counted(gateway, instance->service, candidate->model, candidate->adapter));
-      candidate->rate = rate_of(gateway, candidate->model, candidate->adapter) / copies;
+      time_us loaded_at = instance_loaded_at(instance, candidate->model, candidate->adapter);
+      candidate->rate = MAX(rate_of(gateway, candidate->model, candidate->adapter) / copies,
+                            rate_since_load(gateway, loaded_at));
       candidate->penalty = time_of(gateway, service, candidate->model, candidate->adapter, false);
       char key[140];
       history_key(key, sizeof key, candidate->model, candidate->adapter);
       time_us used = history_used(&gateway->router->history, key);
       candidate->used = k < 0 && r->last_used.us > used.us ? r->last_used : used;
       candidate->busy = instance_runs(instance, candidate->model, candidate->adapter);
-      bool young = k < 0 && r->up_at.us &&
-                   !time_reached(now, time_add(r->up_at, time_from_ms(YOUNG_MS))) &&
-                   r->last_used.us < r->up_at.us;
-      candidate->barred = r->unloading || young ||
+      candidate->barred = r->unloading || just_loaded(gateway, r, candidate->adapter, loaded_at) ||
                           wanted_here(instance, candidate->model, candidate->adapter) ||
                           (k < 0 && !id_is_empty(adapter) && id_equal(r->model, model));
     }
--- a/tests/loader.c
+++ b/tests/loader.c
@@ -182,6 +182,32 @@
   return true;
 }
 
+/* what was loaded a moment ago is not in the rates yet; it must not be the first to go, or engines
+ * whose places are short load and unload in turn while nobody is served */
+static bool a_new_adapter_is_not_the_first_to_go(fleet *fleet) {
+  bare_gateway *bare = bare_new(fleet);
+  const service *service = routing_service(bare->routing, "s");
+  instance *instance = beat(bare, "e1", "10.0.0.1:80", 1, 0, "big");
+  id big = id_of_text("big"), wanted = id_of_text("a3");
+  double mb, drain;
+  unsigned slots;
+  asked(bare, "big", "a1", 2);
+  instance_loaded(instance, big, id_of_text("a1"));
+  sim_run(fleet->sim, time_from_ms(6000));
+  instance_loaded(instance, big, id_of_text("a2"));
+  /* neither of two that have just come, the older one before the newer one, then by their rates */
+  double older = place_cost(instance, service, big, wanted, &mb, &slots, &drain);
+  WANT(fleet, older > 0 && older < 25 * 0.2);
+  instance_loaded(instance, big, id_of_text("a1"));
+  WANT(fleet, place_cost(instance, service, big, wanted, &mb, &slots, &drain) < 0);
+  sim_run(fleet->sim, time_from_ms(2000));
+  WANT(fleet, near(place_cost(instance, service, big, wanted, &mb, &slots, &drain), 25 * 0.5));
+  sim_run(fleet->sim, time_from_ms(4000));
+  WANT(fleet, place_cost(instance, service, big, wanted, &mb, &slots, &drain) < 25 * 0.1);
+  bare_free(bare);
+  return true;
+}
+
 static bool copies_share_a_rate(fleet *fleet) {
   bare_gateway *bare = bare_new(fleet);
   const service *service = routing_service(bare->routing, "s");
@@ -672,6 +698,7 @@
 
 const test_case loader_tests[] = {
   { "room_counts_in_both_measures", room_counts_in_both_measures, 1, 1, 20 },
+  { "a_new_adapter_is_not_the_first_to_go", a_new_adapter_is_not_the_first_to_go, 1, 1, 20 },
   { "a_leaving_adapter_gets_no_work", a_leaving_adapter_gets_no_work, 1, 1, 20 },
   { "copies_share_a_rate", copies_share_a_rate, 1, 1, 20 },
   { "orders_outlast_older_beats", orders_outlast_older_beats, 1, 1, 20 },
