--- a/lib/common/base.h
+++ b/lib/common/base.h
@@ -108,6 +108,7 @@
   E_REFUSED_BY_RULE = 611,
   E_TOO_MUCH = 612,
   E_CUT_OFF = 613,
+  E_RUNS = 614,
 };
 
 /** Sets err (if any) to a code and a text, and gives the code back. */
--- a/lib/gateway/instances.c
+++ b/lib/gateway/instances.c
@@ -677,6 +677,28 @@
   }
 }
 
+static void loads_tell(gateway *gateway, const char *addr);
+
+/* true when this node runs something at an engine that a list of what it holds has not */
+static bool runs_unlisted(const instance *instance, const Wire__Engine *listed) {
+  for (guint k = 0; k < instance->runs->len; k++) {
+    const run_note *run = &g_array_index(instance->runs, run_note, k);
+    if (id_is_empty(run->model))
+      continue;
+    bool there = false;
+    for (size_t m = 0; m < listed->n_models && !there; m++) {
+      if (strcmp(listed->models[m]->model, run->model.text))
+        continue;
+      there = id_is_empty(run->adapter);
+      for (size_t a = 0; a < listed->models[m]->n_adapters && !there; a++)
+        there = !strcmp(listed->models[m]->adapters[a], run->adapter.text);
+    }
+    if (!there)
+      return true;
+  }
+  return false;
+}
+
 /* engines by casts: from a core machine as they beat, from a holder as its orders take effect */
 static int on_engines(void *ctx, Wire__Envelope *in, reply *reply, error *err) {
   gateway *gateway = ctx;
@@ -722,6 +744,9 @@
           changed(instance, m, id_of_text(w->models[j]->adapters[a]), true);
     }
     instance_models(instance, w->models, w->n_models, now, 0);
+    /* the holder may have thought that nobody runs what it means to unload */
+    if (runs_unlisted(instance, w))
+      loads_tell(gateway, in->from->addr);
   }
   return OK;
 }
@@ -800,7 +825,6 @@
   return OK;
 }
 
-/* tells other nodes what this one runs where; beyond some nodes, a few of them at a time */
 static void load_free(void *p) {
   Wire__Load *l = p;
   g_free(l->models);
@@ -828,6 +852,32 @@
   l->models = g_memdup2(m, n * sizeof *m);
 }
 
+/* what this node runs at an engine, and failures of it that nobody has been told of */
+static Wire__Load *load_of(const instance *instance, int failed) {
+  Wire__Load *load = g_new(Wire__Load, 1);
+  wire__load__init(load);
+  load->engine = (char *)instance->self.text;
+  load->running = (uint32_t)instance->running;
+  load->tokens = (uint64_t)instance->tokens;
+  load->fails = (uint32_t)failed;
+  load_models(instance, load);
+  return load;
+}
+
+/* tells one node all that this one runs */
+static void loads_tell(gateway *gateway, const char *addr) {
+  GPtrArray *loads = g_ptr_array_new_with_free_func(load_free);
+  list_for_each(i, &gateway->instances, instance, link) if (!i->gone && i->running)
+      g_ptr_array_add(loads, load_of(i, 0));
+  Wire__Loads message = WIRE__LOADS__INIT;
+  message.n_loads = loads->len;
+  message.loads = (Wire__Load **)loads->pdata;
+  Wire__Envelope out = wire_msg(WIRE__ENVELOPE__BODY_LOADS, &message);
+  node_send(&gateway->router->node, addr, &out);
+  g_ptr_array_free(loads, TRUE);
+}
+
+/* tells other nodes what this one runs where; beyond some nodes, a few of them at a time */
 static void loads_run(void *p) {
   gateway *gateway = p;
   node *node = &gateway->router->node;
@@ -864,14 +914,7 @@
         continue;
       if (i->running)
         some = true;
-      Wire__Load *l = g_new(Wire__Load, 1);
-      wire__load__init(l);
-      l->engine = i->self.text;
-      l->running = (uint32_t)i->running;
-      l->tokens = (uint64_t)i->tokens;
-      l->fails = (uint32_t)failed;
-      load_models(i, l);
-      g_ptr_array_add(all, l);
+      g_ptr_array_add(all, load_of(i, failed));
     }
     Wire__Loads q = WIRE__LOADS__INIT;
     q.n_loads = all->len;
--- a/lib/gateway/loader.c
+++ b/lib/gateway/loader.c
@@ -743,14 +743,16 @@
   instance_cast(instance);
 }
 
+static void retract_unload(instance *instance, id model, id adapter) {
+  instance_loaded(instance, model, adapter);
+  instance_cast(instance);
+}
+
 /* orders one thing unloaded and waits until the engine confirms it */
 static int unload_until_gone(instance *instance, id model, id adapter, error *err) {
   gateway *gateway = instance->gateway;
   bool busy = false, took = false;
   int running = 0, probes = 0, r;
-  announce_unload(instance, model, adapter);
-  if ((r = nap(instance, ANNOUNCE_MS, err)))
-    return r;
   time_us from = now_of(gateway), began = from, announced = from;
   for (;;) {
     if (since_ms(gateway, announced) > ANNOUNCE_AGAIN_MS) {
@@ -818,9 +820,20 @@
   return OK;
 }
 
-/* unloads one thing; where that can't be confirmed, the account of the room is read anew */
-static int unload(instance *instance, id model, id adapter, error *err) {
-  int r = unload_until_gone(instance, model, adapter, err);
+/* Unloads one thing; where that can't be confirmed, the account of the room is read anew. Nodes
+ * that run something of it answer the announcement. When it was thought idle, E_RUNS says that it
+ * is not and stays. */
+static int unload(instance *instance, id model, id adapter, bool thought_idle, error *err) {
+  announce_unload(instance, model, adapter);
+  int r = nap(instance, ANNOUNCE_MS, err);
+  if (r)
+    return r;
+  if (thought_idle && instance_runs(instance, model, adapter)) {
+    retract_unload(instance, model, adapter);
+    return error_set(err, E_RUNS, "%s%s%s runs on %s", model.text, adapter.text[0] ? "+" : "",
+                     adapter.text, instance->self.text);
+  }
+  r = unload_until_gone(instance, model, adapter, err);
   if (r)
     room_forget(&instance->room, now_of(instance->gateway));
   return r;
@@ -873,8 +886,11 @@
     for (int k = 0; k < got; k++)
       if (id_equal(all[k].model, all[0].model) && id_is_empty(all[k].adapter))
         adapter_goes = none;
-    int r = unload(instance, all[0].model, adapter_goes, err);
-    if (r)
+    bool thought_idle = true;
+    for (int k = 0; k < got; k++)
+      thought_idle &= !all[k].busy;
+    int r = unload(instance, all[0].model, adapter_goes, thought_idle, err);
+    if (r && r != E_RUNS)
       return r;
   }
   return error_set(err, E_NO_ROOM, "%s found no room in time", instance->self.text);
