--- a/lib/gateway/loader.c
+++ b/lib/gateway/loader.c
@@ -36,7 +36,9 @@
   /* from the announcement of an unload to its order: the others hear of it, and what they have sent
      meanwhile reaches the engine */
   ANNOUNCE_MS = 40,
-  ANNOUNCE_AGAIN_MS = 1000
+  ANNOUNCE_AGAIN_MS = 1000,
+  /* so many engines may say that only busy things could go, before one is asked to drain */
+  BUSY_ENGINES_MOST = 4
 };
 
 /* copies beyond the next one go only where next to nothing has to make way */
@@ -60,6 +62,7 @@
   unsigned priority;
   bool copy, done, begun, extra;
   time_us asked, due;
+  bool may_drain; /* no engine was found where what has to go is idle */
   int code, held;
   int64_t wait;
   double cost;
@@ -71,6 +74,7 @@
   id model, adapter;
   unsigned priority;
   bool copy, done, begun;
+  bool idle_only; /* nothing that runs may go for it */
   time_us since, asked, due;
   int code, held;
   int64_t wait;
@@ -859,7 +863,7 @@
 /* the rule: unloads before the load, greedily by least worth, the largest first, no more than are
  * needed */
 static int make_room(instance *instance, const service *service, id model, id adapter, double mb,
-                     unsigned slots, error *err) {
+                     unsigned slots, bool idle_only, error *err) {
   candidate all[CANDS];
   for (int turns = 0; turns < 24; turns++) {
     double held_mb;
@@ -877,6 +881,13 @@
     if (got <= 0)
       return error_set(err, E_NO_ROOM, "nothing on %s may be unloaded for %s now",
                        instance->self.text, model.text);
+    bool thought_idle = true;
+    for (int k = 0; k < got; k++)
+      thought_idle &= !all[k].busy;
+    /* a drain lasts as long as what runs, and holds up all other orders of the engine */
+    if (idle_only && !thought_idle)
+      return error_set(err, E_NO_ROOM, "all that could go from %s for %s runs", instance->self.text,
+                       model.text);
     log_debug(&instance->gateway->router->node.log, "place",
               "%s goes from %s for %s+%s: rate %.2f a copy, worth %.0f, one of %d.",
               all[0].model.text, instance->self.text, model.text, adapter.text, all[0].rate,
@@ -886,9 +897,6 @@
     for (int k = 0; k < got; k++)
       if (id_equal(all[k].model, all[0].model) && id_is_empty(all[k].adapter))
         adapter_goes = none;
-    bool thought_idle = true;
-    for (int k = 0; k < got; k++)
-      thought_idle &= !all[k].busy;
     int r = unload(instance, all[0].model, adapter_goes, thought_idle, err);
     if (r && r != E_RUNS)
       return r;
@@ -988,7 +996,7 @@
          guess = time_of(gateway, service, model, adapter, warm);
   unsigned slots = !base;
   char key[140];
-  int r = make_room(instance, service, model, adapter, mb, slots, err), running = 0;
+  int r = make_room(instance, service, model, adapter, mb, slots, job->idle_only, err), running = 0;
   if (r) {
     *wait = r == E_NO_ROOM ? 1000 : 500;
     if (r == E_ORDER_FAILED) {
@@ -1412,6 +1420,7 @@
     job->priority = q->priority;
     job->copy = q->copy;
     job->cost_most = (double)q->costmost;
+    job->idle_only = q->idleonly;
     job->since = now_of(gateway);
     double each = s ? time_of(gateway, s, m, a,
                               instance_resident(instance, m) ||
@@ -1427,6 +1436,7 @@
   job->priority = MIN(job->priority, q->priority);
   job->copy &= q->copy;
   job->cost_most = (double)q->costmost;
+  job->idle_only &= q->idleonly;
   job->held++;
   instance_ref(instance);
   if (!instance->worker) {
@@ -1667,7 +1677,7 @@
   placing *placing = a->placing;
   g_free(a);
   GPtrArray *not_these = g_ptr_array_new_with_free_func(g_free);
-  int code = E_ENGINE, blanks = 0;
+  int code = E_ENGINE, blanks = 0, busy_engines = 0;
   int64_t wait = 400;
   while (!time_reached(now_of(gateway), time_add(placing->asked, time_from_ms(ALIVE_MS)))) {
     const service *service = service_of(gateway, placing->service);
@@ -1698,6 +1708,7 @@
       }
       if (not_these->len)
         g_ptr_array_set_size(not_these, 0);
+      placing->may_drain = !placing->copy;
       if (!world_sleep_about(gateway->router->node.world, time_from_ms(150))) {
         code = E_STOPPING;
         break;
@@ -1725,6 +1736,7 @@
     q.priority = placing->priority;
     q.wait = REQUEST_MS;
     q.copy = placing->copy;
+    q.idleonly = !placing->may_drain;
     /* what is asked for much may push out what is asked for less, however dear the room has become
      * meanwhile */
     int shares = placing->copy
@@ -1778,6 +1790,12 @@
       continue;
     }
     g_ptr_array_add(not_these, g_strdup(engine.text));
+    if (r == E_NO_ROOM && !placing->copy && !placing->may_drain) {
+      placing->may_drain = ++busy_engines >= BUSY_ENGINES_MOST;
+      if (placing->may_drain)
+        g_ptr_array_set_size(not_these, 0);
+      continue;
+    }
     /* an engine that does not answer its holder is passed over by the other placements too */
     if (r == E_ENGINE && (instance = instance_find(gateway, engine.text)))
       instance->no_answer_till = ms_from(gateway, 2000);
