--- a/lib/gateway/drain.c
+++ b/lib/gateway/drain.c
@@ -19,6 +19,13 @@
   return time_add(gateway->drain_at, time_from_ms(MAX(grace - ms, least_ms)));
 }
 
+int64_t gateway_left_ms(const gateway *gateway) {
+  if (!gateway->draining)
+    return INT64_MAX;
+  time_us now = world_now(gateway->router->node.world);
+  return time_sub(before_end(gateway, LAST_MS, 500), now).us / 1000;
+}
+
 /* From here on no request is taken on any connection, also not on one whose answer is under way:
  * its callers are refused at once, while other machines have the time to serve them. */
 static void stop_admission(gateway *gateway) {
--- a/lib/gateway/forward.c
+++ b/lib/gateway/forward.c
@@ -827,6 +827,9 @@
     traffic *traffic = traffic_of(flight->gateway, flight->service);
     traffic->run_ms += 0.1 * (ms_since(flight, from) - traffic->run_ms);
   }
+  if (e == END_DONE && flight->route->mode == MODE_STREAM && call->status == 200)
+    route_times_note(flight->gateway->durations, flight->route->name,
+                     ms_since(flight, flight->since));
   http_call_close(call);
   release(flight, &flight->slot, ok);
   flight->slot = flight->next_slot;
@@ -1003,6 +1006,15 @@
   g_strlcpy(flight->trial, canary_name(flight->gateway), sizeof flight->trial);
 }
 
+/* A stream that nobody can take up again would be cut by the end of this process; its caller has
+ * time to go elsewhere now. */
+static bool outlasts_process(const inflight_request *flight) {
+  if (flight->route->mode != MODE_STREAM || flight->route->resumable)
+    return false;
+  return route_times_most(flight->gateway->durations, flight->route->name) >
+         (double)gateway_left_ms(flight->gateway);
+}
+
 void forward_serve(void *ctx, http_request *request) {
   gateway *gateway = ctx;
   world *world = gateway->router->node.world;
@@ -1047,7 +1059,7 @@
   f.request = g_strndup(rid.data, rid.length);
   f.rank = came.us + (int64_t)route->priority * AGE_MS * 1000;
   condition_init(&f.wake);
-  if (gateway->shut) {
+  if (gateway->shut || outlasts_process(&f)) {
     gateway->counts.refused++;
     answer(gateway, request, 503, LEAVING_BACK_MS, left, "this machine is leaving\n");
   } else {
--- a/lib/gateway/gateway.c
+++ b/lib/gateway/gateway.c
@@ -82,6 +82,7 @@
   g->instance_at = g_hash_table_new(g_str_hash, g_str_equal);
   g->wants = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   g->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, budget_free);
+  g->durations = route_times_new();
   g->traffic = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
   world *world = router->node.world;
   g->front =
@@ -137,6 +138,7 @@
   g_hash_table_destroy(gateway->wants);
   g_hash_table_destroy(gateway->budgets);
   g_hash_table_destroy(gateway->traffic);
+  route_times_free(gateway->durations);
   if (gateway->routing)
     routing_unref((routing *)gateway->routing);
   gateway->router->gateway = NULL;
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -2,6 +2,7 @@
 #define GATEWAY_GATEWAY_H
 #include "dialect.h"
 #include "room.h"
+#include "route_times.h"
 #include "routing.h"
 #include "router.h"
 
@@ -140,6 +141,7 @@
   list_node open_requests; /* all requests under way, in the order in which they were taken */
   GHashTable *traffic;     /* service -> traffic */
   GHashTable *budgets;     /* service -> budget */
+  route_times *durations;  /* of streams that were served whole */
   GHashTable *wants; /* "service/model+adapter" -> struct want_job: loads asked for by this node */
   gateway_counts counts;
   condition over;
@@ -163,6 +165,9 @@
 /** drain.c: says not ready, answers with "Connection: close", ends when all is served or the grace
  * is over; `over` is signalled then. */
 void gateway_drain(gateway *gateway);
+/** The ms until streams under way are cut by the end of this process; INT64_MAX when it does not
+ * leave. */
+int64_t gateway_left_ms(const gateway *gateway);
 void gateway_free(gateway *gateway);
 /** Takes a new settings' bounds. */
 void gateway_reread(gateway *gateway, const gateway_settings *x);
--- a/tests/drain.c
+++ b/tests/drain.c
@@ -86,6 +86,42 @@
   return true;
 }
 
+/* asks for streams of a length, then for the gateway's stop, then for one more; gives that one */
+static fixture_request *ask_after_stop(fixture *fixture, unsigned tokens_out) {
+  enum { STREAMS = 6, ALL_END_MS = 40000, AFTER_STOP_MS = 1500, ANSWER_MS = 300 };
+  fixture_watch_end(fixture);
+  for (int i = 0; i < STREAMS; i++)
+    ask_stream(fixture, tokens_out);
+  fixture_run(fixture, ALL_END_MS);
+  gateway_drain(fixture->gateway);
+  fixture_run(fixture, AFTER_STOP_MS);
+  fixture_request *late = ask_stream(fixture, tokens_out);
+  fixture_run(fixture, ANSWER_MS);
+  return late;
+}
+
+/* Streams of a route that last longer than what is left of the grace are refused at once, while
+ * other machines have the time to serve them; short ones are taken until the listener is shut. */
+static bool streams_that_would_be_cut_are_refused(fleet *fleet) {
+  enum { LONG_TOKENS = 900, SHORT_TOKENS = 150 };
+  fixture *fixture = fixture_new(fleet, long_routes, true, 2, 8);
+  fixture_request *late = ask_after_stop(fixture, LONG_TOKENS);
+  double most = route_times_most(fixture->gateway->durations, id_of_text("t"));
+  if (most < (double)gateway_left_ms(fixture->gateway))
+    violation(fleet, "the streams of this test last %.0f ms, too short for it", most);
+  if (!late->done || late->status != 503 || fixture_runs(fixture, late, true))
+    violation(fleet, "a stream that would be cut was taken (status %d)", late->status);
+  run_to_the_end(fixture);
+  fixture_free(fixture);
+  fixture = fixture_new(fleet, long_routes, true, 2, 8);
+  late = ask_after_stop(fixture, SHORT_TOKENS);
+  run_to_the_end(fixture);
+  if (late->status != 200 || !late->ended)
+    violation(fleet, "a short stream was not served (status %d)", late->status);
+  fixture_free(fixture);
+  return true;
+}
+
 /* At the end of the grace a request may still be at an engine that has sent nothing yet. The caller
  * gets a final answer, which says nothing of whether it has run; its connection is not just closed.
  */
@@ -292,6 +328,7 @@
 const test_case drain_tests[] = {
   { "a_kept_connection_brings_nothing_after_the_listener_is_shut",
     a_kept_connection_brings_nothing_after_the_listener_is_shut, 1, 1, 50 },
+  { "streams_that_would_be_cut_are_refused", streams_that_would_be_cut_are_refused, 1, 1, 20 },
   { "what_has_not_begun_is_answered_at_the_end", what_has_not_begun_is_answered_at_the_end, 1, 1,
     50 },
   { "gateways_stop_under_long_streams", gateways_stop_under_long_streams, 3, 0, 100 },
