--- a/lib/gateway/forward.c
+++ b/lib/gateway/forward.c
@@ -209,7 +209,9 @@
 /* takes a place elsewhere for one more attempt, when attempts, time and the budget allow it */
 static bool another(inflight_request *flight) {
   if (flight->gateway->stopped || flight->sends >= (int)MAX(flight->route->attempts, 1) ||
-      flight->http->gone || left_ms(flight) < 50 || !budget_room(flight->gateway, flight->service))
+      flight->http->gone || left_ms(flight) < 50 ||
+      !gateway_uses(flight->gateway, MECHANISM_RETRIES) ||
+      !budget_room(flight->gateway, flight->service))
     return false;
   if (flight->slot.instance)
     avoid(flight, flight->slot.instance->self);
@@ -421,13 +423,13 @@
       double est = place_ms(flight, need), spare = (double)target - ms_since(flight, flight->since);
       if (!judged && (time_reached(now, quarter) || est > spare)) {
         judged = true;
-        if (est > spare) {
+        if (est > spare && gateway_uses(gateway, MECHANISM_EARLY_REFUSAL)) {
           give_up(flight, 503, (int64_t)est, "all engines are busy\n");
           code = E_DEADLINE;
           break;
         }
       }
-      if (time_reached(now, half)) {
+      if (time_reached(now, half) || !gateway_uses(gateway, MECHANISM_QUEUE)) {
         give_up(flight, 503, (int64_t)est, "all engines are busy\n");
         code = E_DEADLINE;
         break;
@@ -559,7 +561,8 @@
 
 /* may go on elsewhere within the same answer */
 static bool joins(const inflight_request *flight) {
-  return !flight->http->began || (flight->route->resumable && !flight->unsure && flight->last_id);
+  return !flight->http->began || (gateway_uses(flight->gateway, MECHANISM_RESUME) &&
+                                  flight->route->resumable && !flight->unsure && flight->last_id);
 }
 
 static enum end stream(inflight_request *flight, http_call *call, time_us *sent) {
@@ -1009,7 +1012,8 @@
 /* A stream that nobody can take up again would be cut by the end of this process; its caller has
  * time to go elsewhere now. */
 static bool outlasts_process(const inflight_request *flight) {
-  if (flight->route->mode != MODE_STREAM || flight->route->resumable)
+  if (flight->route->mode != MODE_STREAM || flight->route->resumable ||
+      !gateway_uses(flight->gateway, MECHANISM_LEAVING_STREAMS))
     return false;
   return route_times_most(flight->gateway->durations, flight->route->name) >
          (double)gateway_left_ms(flight->gateway);
--- a/lib/gateway/gateway.c
+++ b/lib/gateway/gateway.c
@@ -122,6 +122,7 @@
   gateway_settings was = gateway->settings;
   gateway->settings = *x;
   gateway->settings.dialect = was.dialect;
+  gateway->settings.off = was.off;
   gateway->settings.front_port = was.front_port;
   gateway->settings.ready_port = was.ready_port;
   memcpy(gateway->settings.front_ip, was.front_ip, sizeof was.front_ip);
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_GATEWAY_H
 #define GATEWAY_GATEWAY_H
 #include "dialect.h"
+#include "mechanisms.h"
 #include "room.h"
 #include "route_times.h"
 #include "routing.h"
@@ -119,6 +120,7 @@
   double retry_ratio, retry_slack, retry_window_s, load_window_s, load_excess;
   bool fenced;
   double rate_window_s;
+  unsigned off; /* mechanisms that are switched off, a bit for each */
 } gateway_settings;
 
 typedef struct gateway {
@@ -158,6 +160,11 @@
   GHashTable *rates_told;  /* key -> int64_t: totals that the others have */
 } gateway;
 
+/** True unless a mechanism is switched off. */
+static inline bool gateway_uses(const gateway *gateway, enum mechanism mechanism) {
+  return !(gateway->settings.off & 1u << mechanism);
+}
+
 /** Makes the gateway part of a router; the router must have been made with settings.gateway set. */
 gateway *gateway_new(router *router, const gateway_settings *x, error *err);
 /** Opens the listeners. */
--- a/lib/gateway/instances.c
+++ b/lib/gateway/instances.c
@@ -410,7 +410,7 @@
 
 void instance_failed(instance *instance, double weight) {
   time_us now = now_of(instance);
-  if (instance->gone || instance_ill(instance))
+  if (instance->gone || instance_ill(instance) || !gateway_uses(instance->gateway, MECHANISM_GREY))
     return;
   /* one that was ill has less patience to lose, until it has been well for long */
   if (instance->ill_times && time_reached(now, after(instance->ill_till, ILL_WELL_MS)))
@@ -745,7 +745,7 @@
     }
     instance_models(instance, w->models, w->n_models, now, 0);
     /* the holder may have thought that nobody runs what it means to unload */
-    if (runs_unlisted(instance, w))
+    if (gateway_uses(gateway, MECHANISM_OBJECTIONS) && runs_unlisted(instance, w))
       loads_tell(gateway, in->from->addr);
   }
   return OK;
--- a/lib/gateway/loader.c
+++ b/lib/gateway/loader.c
@@ -192,7 +192,8 @@
  * and counts of other nodes come late. It was wanted once at least, so one request in the time
  * since is its rate at the least. */
 static double rate_since_load(gateway *gateway, time_us loaded_at) {
-  if (!loaded_at.us || since_ms(gateway, loaded_at) > RATE_KNOWN_MS)
+  if (!loaded_at.us || !gateway_uses(gateway, MECHANISM_NEW_RATE) ||
+      since_ms(gateway, loaded_at) > RATE_KNOWN_MS)
     return 0;
   return 1000 / MAX(since_ms(gateway, loaded_at), 1000);
 }
@@ -200,7 +201,8 @@
 /* what came up a moment ago, for requests that are only now told of it */
 static bool just_loaded(gateway *gateway, const resident *resident, id adapter, time_us loaded_at) {
   if (!id_is_empty(adapter))
-    return loaded_at.us && since_ms(gateway, loaded_at) < YOUNG_ADAPTER_MS;
+    return loaded_at.us && gateway_uses(gateway, MECHANISM_NEW_RATE) &&
+           since_ms(gateway, loaded_at) < YOUNG_ADAPTER_MS;
   return resident->up_at.us && since_ms(gateway, resident->up_at) < YOUNG_MS &&
          resident->last_used.us < resident->up_at.us;
 }
@@ -254,6 +256,8 @@
  * one */
 static policy policy_of(gateway *gateway) {
   const config *config = gateway->router->config;
+  if (!gateway_uses(gateway, MECHANISM_CREMEBRULEE))
+    return (policy){ "lru", NULL, now_of(gateway) };
   return config ? (policy){ config->eviction, config_formula(config, config->eviction),
                             now_of(gateway) }
                 : (policy){ "cremebrulee", NULL, now_of(gateway) };
@@ -829,7 +833,8 @@
  * is not and stays. */
 static int unload(instance *instance, id model, id adapter, bool thought_idle, error *err) {
   announce_unload(instance, model, adapter);
-  int r = nap(instance, ANNOUNCE_MS, err);
+  bool waits = gateway_uses(instance->gateway, MECHANISM_ANNOUNCE);
+  int r = waits ? nap(instance, ANNOUNCE_MS, err) : OK;
   if (r)
     return r;
   if (thought_idle && instance_runs(instance, model, adapter)) {
@@ -1736,7 +1741,7 @@
     q.priority = placing->priority;
     q.wait = REQUEST_MS;
     q.copy = placing->copy;
-    q.idleonly = !placing->may_drain;
+    q.idleonly = !placing->may_drain && gateway_uses(gateway, MECHANISM_IDLE_FIRST);
     /* what is asked for much may push out what is asked for less, however dear the room has become
      * meanwhile */
     int shares = placing->copy
--- a/lib/gateway/select.c
+++ b/lib/gateway/select.c
@@ -91,7 +91,7 @@
    that wait there, gets one more copy: where nodes are many, each of them sees few requests of a
    model */
 static void spread(gateway *gateway, const pick_request *q, double est, double queue_ms) {
-  if (!q->target_ms ||
+  if (!q->target_ms || !gateway_uses(gateway, MECHANISM_COPIES) ||
       est < (q->policy ? q->policy : &select_usual)->copy_share * (double)q->target_ms)
     return;
   char key[160];
@@ -144,8 +144,8 @@
   bool soft = open * 2 < held;
   uint64_t chain[PARTS];
   double upto[PARTS];
-  int parts =
-      llm && q->prefix ? parts_read(q->prefix, q->model, q->adapter, chain, upto, PARTS) : 0;
+  bool by_prefix = llm && q->prefix && gateway_uses(gateway, MECHANISM_PREFIX);
+  int parts = by_prefix ? parts_read(q->prefix, q->model, q->adapter, chain, upto, PARTS) : 0;
   int shared = MAX(parts - 1, 0);
   double shared_tokens = shared ? MIN(upto[shared - 1], q->tokens) : 0;
   const instance *home = NULL;
@@ -166,7 +166,7 @@
   for (int k = 0; k < n; k++) {
     instance *i = c[k];
     unsigned slots = i->slots ? i->slots : service->engine_slots;
-    int running = instance_running(i);
+    int running = gateway_uses(gateway, MECHANISM_BATCH) ? instance_running(i) : 0;
     if (i->shunned_till.us > now.us &&
         !(soft && i->last_byte.us &&
           !time_reached(now, time_add(i->last_byte, time_from_ms(3000)))))
@@ -200,14 +200,15 @@
       cost += o->affinity * i->ms_per_token * MAX(shared_tokens - (kept ? upto[kept - 1] : 0), 0);
     if (q->target_ms && est > 0.5 * (double)q->target_ms)
       cost += o->load * 3 * (est - 0.5 * (double)q->target_ms);
-    if (llm && service->kv_tokens > 0) {
+    if (llm && service->kv_tokens > 0 && gateway_uses(gateway, MECHANISM_KV)) {
       double use = (running + 1) * MAX(i->usual_tokens, 1) * 1.15 / service->kv_tokens;
       if (use > 0.85)
         cost += (use - 0.85) * 4000;
     }
     if (!llm)
       cost = o->load * est * (1 + (slots ? (double)running / slots : running));
-    if (!id_equal(i->area, gateway->router->node.settings.area))
+    if (!id_equal(i->area, gateway->router->node.settings.area) &&
+        gateway_uses(gateway, MECHANISM_ZONE))
       cost += o->area * (llm ? 3 : 1.5);
     if (instance_ill(i))
       cost += ILL_COST;
--- a/tests/loader.c
+++ b/tests/loader.c
@@ -208,6 +208,18 @@
   return true;
 }
 
+static bool mechanisms_are_named(fleet *fleet) {
+  unsigned set = 0;
+  error err = { 0 };
+  WANT(fleet, mechanisms_read("prefix,cremebrulee", &set, &err) &&
+                  set == (1u << MECHANISM_PREFIX | 1u << MECHANISM_CREMEBRULEE));
+  for (int k = 0; k < MECHANISM_COUNT; k++)
+    WANT(fleet, mechanisms_read(mechanism_name(k), &set, &err) && set == 1u << k);
+  WANT(fleet, !mechanisms_read("prefix,nothing", &set, &err) && err.code == E_SETTINGS_KEY);
+  WANT(fleet, !mechanisms_read("", &set, &err));
+  return true;
+}
+
 static bool copies_share_a_rate(fleet *fleet) {
   bare_gateway *bare = bare_new(fleet);
   const service *service = routing_service(bare->routing, "s");
@@ -698,6 +710,7 @@
 
 const test_case loader_tests[] = {
   { "room_counts_in_both_measures", room_counts_in_both_measures, 1, 1, 20 },
+  { "mechanisms_are_named", mechanisms_are_named, 1, 1, 20 },
   { "a_new_adapter_is_not_the_first_to_go", a_new_adapter_is_not_the_first_to_go, 1, 1, 20 },
   { "a_leaving_adapter_gets_no_work", a_leaving_adapter_gets_no_work, 1, 1, 20 },
   { "copies_share_a_rate", copies_share_a_rate, 1, 1, 20 },
