--- a/lib/gateway/loader.c
+++ b/lib/gateway/loader.c
@@ -1327,9 +1327,10 @@
 /* what is gained by a load: those who wait, and those who will come until the next load could be
  * done, by urgency */
 static double load_worth(gateway *gateway, unsigned priority, id model, id adapter) {
-  static const double urgency[] = { 4, 1, 0.5 };
-  double weight = urgency[MIN(priority, G_N_ELEMENTS(urgency) - 1)];
-  return weight * (1 + 3 * rate_of(gateway, model, adapter));
+  return (priority == 0   ? 1.5
+          : priority == 1 ? 1
+                          : 0.5) *
+         (1 + 3 * rate_of(gateway, model, adapter));
 }
 
 static double job_worth(gateway *gateway, const place_job *job) {
