--- a/lib/gateway/loader.c
+++ b/lib/gateway/loader.c
@@ -188,11 +188,11 @@
       g_hash_table_lookup(gateway->copies, GUINT_TO_POINTER(run_key(model, adapter))));
 }
 
-/* The rate of what was loaded of late is not in the history yet: nobody could be served with it,
- * and counts of other nodes come late. It was wanted once at least, so one request in the time
- * since is its rate at the least. */
-static double rate_since_load(gateway *gateway, time_us loaded_at) {
-  if (!loaded_at.us || !gateway_uses(gateway, MECHANISM_NEW_RATE) ||
+/* The rate of an adapter that was loaded of late is not in the history yet: it comes in some ms,
+ * and counts of other nodes come seconds later. It was wanted once at least, so one request in the
+ * time since is its rate at the least. A model takes longer to load than its rate to be known. */
+static double rate_since_load(gateway *gateway, id adapter, time_us loaded_at) {
+  if (id_is_empty(adapter) || !loaded_at.us || !gateway_uses(gateway, MECHANISM_NEW_RATE) ||
       since_ms(gateway, loaded_at) > RATE_KNOWN_MS)
     return 0;
   return 1000 / MAX(since_ms(gateway, loaded_at), 1000);
@@ -233,7 +233,7 @@
           MAX(1, copies_counted(gateway, instance->service, candidate->model, candidate->adapter));
       time_us loaded_at = instance_loaded_at(instance, candidate->model, candidate->adapter);
       candidate->rate = MAX(rate_of(gateway, candidate->model, candidate->adapter) / copies,
-                            rate_since_load(gateway, loaded_at));
+                            rate_since_load(gateway, candidate->adapter, loaded_at));
       candidate->penalty = time_of(gateway, service, candidate->model, candidate->adapter, false);
       char key[140];
       history_key(key, sizeof key, candidate->model, candidate->adapter);
