Heartbeats run first, and suspicion allows for the lateness of both sides

Change: tasks of heartbeats and of the watch run before all else that is ready, and sleepers are looked at every 16 tasks; a heartbeat says how late its sender's tasks run (Beat.lateMs), and a silence is doubted after 1400 ms plus both latenesses, 2800 ms at the most. Tests: urgent_tasks_run_first, late_machines_are_given_time.

--- a/lib/common/node.c
+++ b/lib/common/node.c
@@ -210,7 +210,14 @@
 }
 
 /* machines */
-enum { BEAT_MS = 350, DOUBT_MS = 1400, DOUBT_LIVES_MS = 1600, FORGET_MS = 600000 };
+enum {
+  BEAT_MS = 350,
+  DOUBT_MS = 1400,
+  /* however late the two sides are, a silence of this length is doubted */
+  DOUBT_MOST_MS = 2800,
+  DOUBT_LIVES_MS = 1600,
+  FORGET_MS = 600000
+};
 
 machine *node_find_machine(node *node, id who) {
   list_for_each(peer, &node->machines, machine, link) if (id_equal(peer->self, who)) return peer;
@@ -435,18 +442,32 @@
     int n = node_watchers(node, node->settings.self, w);
     Wire__Beat b = WIRE__BEAT__INIT;
     b.turn = ++node->heartbeat_turn;
+    b.latems = (uint64_t)node->late_ms;
     Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_BEAT, &b);
     for (int i = 0; i < n; i++)
       node_send(node, w[i].addr, &m);
   }
 }
 
+/* the latest lateness at once, and what it was before for some turns */
+static void note_lateness(node *node, time_us slept_since, time_us now) {
+  int64_t late_ms = time_sub(now, slept_since).us / 1000 - BEAT_MS;
+  node->late_ms = MAX(MAX(late_ms, 0), node->late_ms * 3 / 4);
+}
+
+/* The silence after which a machine is doubted. Heartbeats wait behind other work at a sender that
+ * is overloaded, and those that have come wait unread at a receiver that is. */
+static int64_t doubt_after_ms(const node *node, const machine *peer) {
+  return MIN(DOUBT_MS + node->late_ms + peer->late_ms, DOUBT_MOST_MS);
+}
+
 static void watch_run(void *p) {
   node *node = p;
   time_us last = world_now(node->world);
   while (world_sleep(node->world, time_from_ms(BEAT_MS))) {
     time_us now = world_now(node->world);
     bool slept = time_reached(now, time_add(last, time_from_ms(DOUBT_MS / 2)));
+    note_lateness(node, last, now);
     last = now;
     list_for_each(peer, &node->machines, machine, link) {
       if (slept)
@@ -470,7 +491,7 @@
       if (!peer->watched.us)
         peer->watched = now;
       time_us from = peer->heard.us > peer->watched.us ? peer->heard : peer->watched;
-      if (!time_reached(now, time_add(from, time_from_ms(DOUBT_MS))))
+      if (!time_reached(now, time_add(from, time_from_ms(doubt_after_ms(node, peer)))))
         continue;
       Wire__Doubt d = WIRE__DOUBT__INIT;
       d.id = peer->self.text;
@@ -572,10 +593,11 @@
 }
 
 static int on_beat(void *ctx, Wire__Envelope *in, reply *reply, error *err) {
-  (void)ctx;
-  (void)in;
   (void)reply;
   (void)err;
+  machine *peer = node_find_machine(ctx, id_of_text(in->from->id));
+  if (peer)
+    peer->late_ms = (int64_t)MIN(in->beat->latems, DOUBT_MOST_MS);
   return OK;
 }
 
@@ -669,8 +691,8 @@
 }
 
 void node_start(node *node) {
-  task_start(&node->world->tasks, "beat", beat_run, node);
-  task_start(&node->world->tasks, "watch", watch_run, node);
+  task_start_urgent(&node->world->tasks, "beat", beat_run, node);
+  task_start_urgent(&node->world->tasks, "watch", watch_run, node);
   task_start(&node->world->tasks, "gossip", gossip_run, node);
 }
 
--- a/lib/common/node.h
+++ b/lib/common/node.h
@@ -61,6 +61,8 @@
     id by;
     time_us at;
   } doubts[6];
+  /** How late its tasks run, as its latest heartbeat says. */
+  int64_t late_ms;
 } machine;
 
 /** How many others watch a machine's heartbeats. */
@@ -87,6 +89,8 @@
   settings settings;
   logger log;
   uint64_t inc, nonce, calls, heartbeat_turn, odd_wire;
+  /** How late tasks of this process have run of late, in ms; fades away. */
+  int64_t late_ms;
   bool leaving, idle;
   time_us twin, born;
   GHashTable *open;
--- a/lib/common/task.c
+++ b/lib/common/task.c
@@ -11,7 +11,7 @@
 #define ASAN_ON 0
 #endif
 
-enum { STACK = 128 * 1024, GUARD = 4096, SPARE_MOST = 64 };
+enum { STACK = 128 * 1024, GUARD = 4096, SPARE_MOST = 64, TASKS_A_LOOK = 16 };
 
 struct task {
   list_node all, ready, wait;
@@ -26,7 +26,7 @@
   void *stack;
   const void *low;
   size_t size;
-  bool done;
+  bool done, urgent;
 };
 
 /* tasks that are over, with their stacks: the next ones of this thread run on them */
@@ -121,7 +121,13 @@
   return t;
 }
 
-void task_start(scheduler *scheduler, const char *name, void (*run)(void *), void *arg) {
+static void ready_add(task *task) {
+  list_node *ready = &task->scheduler->ready;
+  list_append(task->urgent ? ready->next : ready, &task->ready);
+}
+
+static void start(scheduler *scheduler, const char *name, void (*run)(void *), void *arg,
+                  bool urgent) {
   task *t;
   if (spares) {
     t = list_item(spare.prev, task, all);
@@ -134,12 +140,21 @@
   t->run = run;
   t->arg = arg;
   t->done = false;
+  t->urgent = urgent;
   list_init(&t->wait);
   list_append(&scheduler->all, &t->all);
-  list_append(&scheduler->ready, &t->ready);
+  ready_add(t);
   scheduler->count++;
 }
 
+void task_start(scheduler *scheduler, const char *name, void (*run)(void *), void *arg) {
+  start(scheduler, name, run, arg, false);
+}
+
+void task_start_urgent(scheduler *scheduler, const char *name, void (*run)(void *), void *arg) {
+  start(scheduler, name, run, arg, true);
+}
+
 static void drop(task *task) {
   list_remove(&task->all);
   task->scheduler->count--;
@@ -165,36 +180,38 @@
     task->due = NULL;
   }
   list_remove(&task->wait);
-  list_append(&task->scheduler->ready, &task->ready);
+  ready_add(task);
+}
+
+static void wake_sleepers(scheduler *scheduler) {
+  time_us now = scheduler->now(scheduler->ctx);
+  GSequenceIter *it;
+  while (!g_sequence_iter_is_end(it = g_sequence_get_begin_iter(scheduler->sleep))) {
+    task *t = g_sequence_get(it);
+    if (t->till.us > now.us && !scheduler->dead)
+      break;
+    wake_up(t, scheduler->dead ? WAKE_STOPPED : WAKE_TIMEOUT);
+  }
+}
+
+static void run_first(scheduler *scheduler) {
+  task *t = list_item(scheduler->ready.next, task, ready);
+  list_remove(&t->ready);
+  scheduler->cur = t;
+  enter(t);
+  scheduler->cur = NULL;
+  if (t->done)
+    drop(t);
 }
 
 time_us scheduler_run(scheduler *scheduler) {
   for (;;) {
-    time_us now = scheduler->now(scheduler->ctx);
-    GSequenceIter *it;
-    while (!g_sequence_iter_is_end(it = g_sequence_get_begin_iter(scheduler->sleep))) {
-      task *t = g_sequence_get(it);
-      if (t->till.us > now.us && !scheduler->dead)
-        break;
-      wake_up(t, scheduler->dead ? WAKE_STOPPED : WAKE_TIMEOUT);
-    }
+    wake_sleepers(scheduler);
     if (list_is_empty(&scheduler->ready))
       break;
-    list_node turn = { &turn, &turn };
-    while (!list_is_empty(&scheduler->ready)) {
-      list_node *n = scheduler->ready.next;
-      list_remove(n);
-      list_append(&turn, n);
-    }
-    while (!list_is_empty(&turn)) {
-      task *t = list_item(turn.next, task, ready);
-      list_remove(&t->ready);
-      scheduler->cur = t;
-      enter(t);
-      scheduler->cur = NULL;
-      if (t->done)
-        drop(t);
-    }
+    /* sleepers are looked at now and then, so that urgent ones don't wait for a long line */
+    for (int k = 0; k < TASKS_A_LOOK && !list_is_empty(&scheduler->ready); k++)
+      run_first(scheduler);
   }
   GSequenceIter *it = g_sequence_get_begin_iter(scheduler->sleep);
   return g_sequence_iter_is_end(it) ? time_never() : ((task *)g_sequence_get(it))->till;
--- a/lib/common/task.h
+++ b/lib/common/task.h
@@ -32,6 +32,9 @@
 void scheduler_free(scheduler *scheduler);
 /** Starts a task; its first step comes with the next scheduler_run. */
 void task_start(scheduler *scheduler, const char *name, void (*run)(void *), void *arg);
+/** The same for a task that runs before all others that are ready, each time it is woken: for
+ * heartbeats, which must not wait behind a crowd's work. Its steps must be short. */
+void task_start_urgent(scheduler *scheduler, const char *name, void (*run)(void *), void *arg);
 /** Sleeps for a span. */
 enum wake task_sleep(scheduler *scheduler, time_us span);
 /** Makes a condition. */
--- a/tests/member.c
+++ b/tests/member.c
@@ -59,6 +59,33 @@
                 is[i].self.text, i, who.text, should[i].self.text);
 }
 
+static void note_word(void *p) {
+  g_string_append(((void **)p)[0], ((void **)p)[1]);
+}
+
+static time_us stands_still(void *p) {
+  (void)p;
+  return (time_us){ 1000 };
+}
+
+/* heartbeats run before all else that is ready, in the order in which they were woken */
+static bool urgent_tasks_run_first(fleet *fleet) {
+  scheduler scheduler;
+  scheduler_init(&scheduler, stands_still, NULL);
+  GString *order = g_string_new(NULL);
+  void *words[3][2] = { { order, "a" }, { order, "b" }, { order, "!" } };
+  task_start(&scheduler, "a", note_word, words[0]);
+  task_start(&scheduler, "b", note_word, words[1]);
+  task_start_urgent(&scheduler, "!", note_word, words[2]);
+  scheduler_run(&scheduler);
+  if (strcmp(order->str, "!ab"))
+    violation(fleet, "tasks ran as %s", order->str);
+  g_string_free(order, TRUE);
+  scheduler_kill(&scheduler);
+  scheduler_free(&scheduler);
+  return true;
+}
+
 /* given machines that come, go, are cut off and are heard again, at any moment each one names the
  * watchers that the rule names */
 static bool watchers_follow_the_ring(fleet *fleet) {
@@ -117,7 +144,54 @@
   return !fleet->faults->len;
 }
 
+/* what the others know of a machine: the number of those that think it gone; when told to, they
+ * learn how late it is */
+static int others_of(fleet *fleet, host *whom, int64_t late_ms) {
+  int gone = 0;
+  for (int i = 0; i < fleet->routers + fleet->controllers; i++) {
+    host *host = i < fleet->routers ? fleet->router[i] : fleet->controller[i - fleet->routers];
+    machine *machine = host == whom ? NULL : node_find_machine(node_of(host), whom->self);
+    if (!machine)
+      continue;
+    gone += machine->gone;
+    machine->late_ms = late_ms;
+  }
+  return gone;
+}
+
+/* how many of the others think that a machine is gone, after it was silent for a time */
+static int gone_after_silence(fleet *fleet, host *silent, int64_t late_ms, int64_t silent_ms) {
+  enum { IN_FLIGHT_MS = 200, BACK_MS = 5000 };
+  host_freeze(silent);
+  sim_run(fleet->sim, time_from_ms(IN_FLIGHT_MS));
+  others_of(fleet, silent, late_ms);
+  sim_run(fleet->sim, time_from_ms(silent_ms));
+  int gone = others_of(fleet, silent, late_ms);
+  host_wake(silent);
+  sim_run(fleet->sim, time_from_ms(BACK_MS));
+  return gone;
+}
+
+/* a machine that has said how late its tasks run is given that much longer, up to a bound */
+static bool late_machines_are_given_time(fleet *fleet) {
+  enum { SHORT_MS = 2000, LONG_MS = 4500, LATE_MS = 1300, VERY_LATE_MS = 60000 };
+  if (!fleet_up(fleet))
+    return false;
+  sim_run(fleet->sim, time_from_ms(5000));
+  host *silent = fleet->router[0];
+  if (!gone_after_silence(fleet, silent, 0, SHORT_MS))
+    violation(fleet, "a silence of %d ms is not noticed", SHORT_MS);
+  int gone = gone_after_silence(fleet, silent, LATE_MS, SHORT_MS);
+  if (gone)
+    violation(fleet, "%d machines think that one which is late is gone", gone);
+  if (!gone_after_silence(fleet, silent, VERY_LATE_MS, LONG_MS))
+    violation(fleet, "a silence of %d ms of a late machine is not noticed", LONG_MS);
+  return true;
+}
+
 const test_case member_tests[] = {
+  { "late_machines_are_given_time", late_machines_are_given_time, 6, 2, 34 },
+  { "urgent_tasks_run_first", urgent_tasks_run_first, 1, 1, 20 },
   { "watchers_follow_the_ring", watchers_follow_the_ring, 9, 2, 34 },
   { "a_quiet_ring_is_made_once", a_quiet_ring_is_made_once, 9, 2, 10 },
   { NULL, NULL, 0, 0, 0 }
