--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -60,7 +60,6 @@
   bool worker;
   time_us ordered_at;     /* when another node was last heard to order it about */
   time_us no_answer_till; /* at a coordinator: its holder got no answer from it */
-  time_us line_till;      /* at a coordinator: when the line of its loads may have cleared */
   time_us reported_at;    /* when this node last asked it for a report that came */
   double owed_mb;
   unsigned owed_slots;
--- a/lib/gateway/loader.c
+++ b/lib/gateway/loader.c
@@ -38,9 +38,7 @@
   ANNOUNCE_MS = 40,
   ANNOUNCE_AGAIN_MS = 1000,
   /* so many engines may say that only busy things could go, before one is asked to drain */
-  BUSY_ENGINES_MOST = 4,
-  /* places in a line lapse, so it may clear sooner than its holder says */
-  LINE_MOST_MS = 4000
+  BUSY_ENGINES_MOST = 4
 };
 
 /* copies beyond the next one go only where next to nothing has to make way */
@@ -1644,10 +1642,9 @@
                             ? 0
                             : time_of(gateway, service, placing->model, placing->adapter, warm));
       unsigned all = i->slots ? i->slots : service->engine_slots;
-      double line =
-          MAX(queued_on(gateway, i->self, placing), (double)ms_till(gateway, i->line_till));
-      double delay = load_ms + drain + line + (all ? 300.0 * instance_running(i) / all : 0) +
-                     (there || warm ? 0 : 300) + (cost > 0 ? 60 : 0);
+      double delay = load_ms + drain + queued_on(gateway, i->self, placing) +
+                     (all ? 300.0 * instance_running(i) / all : 0) + (there || warm ? 0 : 300) +
+                     (cost > 0 ? 60 : 0);
       cost += delay * MAX(lambda, 0.6) + (double)world_random(gateway->router->node.world, 10);
       if (!best || cost < least) {
         best = i;
@@ -1674,17 +1671,6 @@
     placing_free(placing);
 }
 
-/* Notes what is ahead of a placement that stands in an engine's line, for the others to choose by:
- * the wait that its holder told, without the placement's own load. */
-static void line_note(instance *instance, const placing *placing, const service *service,
-                      int64_t wait_ms) {
-  gateway *gateway = instance->gateway;
-  double own_ms = instance_resident(instance, placing->model)
-                      ? 0
-                      : time_of(gateway, service, placing->model, none, false);
-  instance->line_till = ms_from(gateway, CLAMP((double)wait_ms - own_ms, 0, (double)LINE_MOST_MS));
-}
-
 /* carries one placement out: chooses an engine, and asks its holder until it is done or nobody
  * wants it */
 static void placing_run(void *ctx) {
@@ -1796,11 +1782,8 @@
       /* one that still stands in line may be better off elsewhere by now; the old place lapses
        * unasked */
       placing->begun = begun;
-      if (!begun) {
+      if (!begun)
         placing->engine = none;
-        if ((instance = instance_find(gateway, engine.text)))
-          line_note(instance, placing, service, wait);
-      }
       continue;
     }
     code = r;
