Placement in modules of one job each: loader.c (2,219 lines) becomes eight

eviction.c (what an engine may lose), pace.c (the store), orders.c (orders and reports), load_jobs.c (an engine's line of loads), placement.c (the coordinator's choice), wants.c (wishes of requests), rates.c (rates over the fleet) and loader.c (start and end); names that the modules share begin with the module's or say what they work on. No change of behaviour.

--- /dev/null
+++ b/lib/gateway/pace.c
@@ -0,0 +1,214 @@
+/** The pace of loads out of a service's store: one node gives the tickets. */
+#include "loader_internal.h"
+#include <math.h>
+
+/* the pace of the store */
+int pace_most(double loads_per_s, double window_s, double excess) {
+  return MAX(1, (int)floor(loads_per_s * window_s * excess + 1e-9) - 1);
+}
+
+time_us pace_next(const GArray *log, time_us now, time_us window, int most) {
+  if ((int)log->len < most)
+    return now;
+  time_us free_at = time_add(g_array_index(log, time_us, log->len - (guint)most), window);
+  return free_at.us > now.us ? free_at : now;
+}
+
+void pace_take_over(GArray *log, time_us since, time_us born, time_us window, int most) {
+  /* loads that nobody told of: a few always; all but three when this node is too young to have
+   * heard */
+  int unheard = time_reached(since, time_add(born, window)) ? MIN(3, most - 1) : MAX(0, most - 3);
+  for (int k = 0; k < unheard; k++)
+    g_array_append_val(log, since);
+}
+
+/* when loads out of a service's store began, and the contract under which this node has given
+ * tickets for them */
+typedef struct pace {
+  GArray *log;
+  uint64_t epoch;
+} pace;
+
+static pace *pace_of(gateway *gateway, id service) {
+  pace *p = g_hash_table_lookup(gateway->paces, service.text);
+  if (p)
+    return p;
+  p = g_new0(pace, 1);
+  p->log = g_array_new(FALSE, TRUE, sizeof(time_us));
+  g_hash_table_insert(gateway->paces, g_strdup(service.text), p);
+  return p;
+}
+
+void pace_free(void *q) {
+  pace *p = q;
+  g_array_free(p->log, TRUE);
+  g_free(p);
+}
+
+static double window_s(gateway *gateway) {
+  return gateway->settings.load_window_s > 0 ? gateway->settings.load_window_s : 5;
+}
+
+static double excess(gateway *gateway) {
+  return gateway->settings.load_excess > 0 ? gateway->settings.load_excess : 1;
+}
+
+void pace_add(gateway *gateway, id service, time_us at) {
+  GArray *a = pace_of(gateway, service)->log;
+  time_us old = time_sub(at, (time_us){ (int64_t)(window_s(gateway) * 1.2e6) });
+  while (a->len && g_array_index(a, time_us, 0).us < old.us)
+    g_array_remove_index(a, 0);
+  g_array_append_val(a, at);
+}
+
+/* a call asks for a ticket; a cast says that a load began, so that whoever takes the pace over
+ * knows */
+int pace_on_ticket(void *ctx, Wire__Envelope *in, reply *reply, error *err) {
+  gateway *gateway = ctx;
+  router *router = gateway->router;
+  instance *instance = instance_find(gateway, in->ticket->engine);
+  if (!in->call) {
+    if (!instance)
+      return OK;
+    if (in->ticket->key && in->ticket->key[0])
+      pace_add(gateway, instance->service, now_of(gateway));
+    else
+      instance->ordered_at = now_of(gateway);
+    return OK;
+  }
+  uint64_t epoch = duty_epoch(router, "pacer");
+  if (!epoch)
+    return error_set(err, E_NO_HOLDER, "the pace is not held here");
+  if (in->ticket->epoch > epoch)
+    return error_set(err, E_EPOCH, "a younger epoch is known");
+  const service *service = instance ? service_of(gateway, instance->service) : NULL;
+  if (!service)
+    return error_set(err, E_ENGINE, "%.40s is not known here", in->ticket->engine);
+  Wire__TicketBack *b =
+      reply_new(reply, WIRE__ENVELOPE__BODY_TICKETBACK, &wire__ticket_back__descriptor);
+  b->ok = true;
+  b->last = LAST_MS * 1000;
+  if (service->loads_per_s <= 0)
+    return OK;
+  int most = pace_most(service->loads_per_s, window_s(gateway), excess(gateway));
+  time_us window = { (int64_t)(window_s(gateway) * 1e6) + LAST_MS * 1000 }, now = now_of(gateway);
+  pace *p = pace_of(gateway, service->name);
+  contract *contract = g_hash_table_lookup(router->contracts, "pacer");
+  if (p->epoch != epoch) {
+    if (epoch > 1)
+      pace_take_over(p->log, contract->since, router->node.born, window, most);
+    p->epoch = epoch;
+  }
+  time_us at = pace_next(p->log, now, window, most);
+  int64_t wait = time_sub(at, now).us;
+  b->ok = wait == 0 && !time_reached(time_add(now, time_from_ms(LAST_MS)), contract->till);
+  b->wait = (uint64_t)(wait + 999) / 1000;
+  if (!b->ok) {
+    router->tickets_late++;
+    if (!b->wait)
+      b->wait = 100;
+    return OK;
+  }
+  router->tickets++;
+  pace_add(gateway, service->name, now);
+  Wire__Ticket t = WIRE__TICKET__INIT;
+  t.engine = in->ticket->engine;
+  t.key = in->ticket->key;
+  t.epoch = epoch;
+  Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_TICKET, &t);
+  duty_heirs_cast(gateway, "pacer", &m);
+  return OK;
+}
+
+/* asks for a load out of the store; last is how late its order may be sent */
+int pace_ticket(instance *instance, const service *service, const char *key, time_us *last,
+                int64_t *wait, error *err) {
+  gateway *gateway = instance->gateway;
+  router *router = gateway->router;
+  if (service->loads_per_s <= 0) {
+    *last = time_never();
+    return OK;
+  }
+  time_us from = now_of(gateway);
+  for (;;) {
+    id holder;
+    uint64_t epoch;
+    char addr[48] = "";
+    if (router_grant(router, "pacer", &holder, &epoch)) {
+      machine *machine = node_find_machine(&router->node, holder);
+      if (id_equal(holder, router->node.settings.self))
+        g_strlcpy(addr, router->node.settings.addr, sizeof addr);
+      else if (machine && !machine->gone)
+        g_strlcpy(addr, machine->addr, sizeof addr);
+    }
+    int r = E_LOAD_PACE;
+    if (addr[0]) {
+      Wire__Ticket t = WIRE__TICKET__INIT;
+      t.engine = instance->self.text;
+      t.key = (char *)key;
+      t.epoch = epoch;
+      Wire__Envelope q = wire_msg(WIRE__ENVELOPE__BODY_TICKET, &t), *b;
+      time_us sent = now_of(gateway);
+      r = node_call(&router->node, addr, &q, time_from_ms(TICKET_MS), &b, err);
+      if (r == E_STOPPING)
+        return r;
+      if (!r) {
+        bool good = b->body_case == WIRE__ENVELOPE__BODY_TICKETBACK, ok = good && b->ticketback->ok;
+        if (good)
+          *wait = (int64_t)b->ticketback->wait;
+        if (ok)
+          *last = time_add(sent, (time_us){ (int64_t)b->ticketback->last });
+        node_reply_free(b);
+        if (ok)
+          return OK;
+        if (good)
+          return error_set(err, E_LOAD_PACE, "the pace is taken for %" PRId64 " ms", *wait);
+        r = E_WIRE;
+      }
+    }
+    if (since_ms(gateway, from) >= TICKET_MS)
+      break;
+    if (!world_sleep(router->node.world, time_from_ms(100)))
+      return error_set(err, E_STOPPING, "stopping");
+  }
+  /* nobody answers for the pace: a node's own small share of it */
+  double gap = 4 * MAX(gateway->nodes, 1) / service->loads_per_s * 1000;
+  if (gateway->spare_load.us && since_ms(gateway, gateway->spare_load) < gap) {
+    *wait = 500;
+    return error_set(err, E_LOAD_PACE, "nobody holds the pace");
+  }
+  gateway->spare_load = now_of(gateway);
+  pace_add(gateway, service->name, now_of(gateway));
+  *last = ms_from(gateway, LAST_MS);
+  return OK;
+}
+
+/* sends to those who would come next for a duty, who are all when nodes are few */
+void duty_heirs_cast(gateway *gateway, const char *duty, Wire__Envelope *m) {
+  enum { HEIRS = 3 };
+  machine *heir[HEIRS] = { NULL };
+  uint64_t top[HEIRS] = { 0 };
+  list_for_each(x, &gateway->router->node.machines, machine, link) {
+    if (x->role != ROLE_ROUTER || x->gone)
+      continue;
+    if (gateway->nodes <= FEW_NODES) {
+      node_send(&gateway->router->node, x->addr, m);
+      continue;
+    }
+    uint64_t h = hash_of_two(duty, x->self.text);
+    int at = HEIRS;
+    while (at > 0 && h > top[at - 1])
+      at--;
+    if (at == HEIRS)
+      continue;
+    for (int k = HEIRS - 1; k > at; k--) {
+      top[k] = top[k - 1];
+      heir[k] = heir[k - 1];
+    }
+    top[at] = h;
+    heir[at] = x;
+  }
+  for (int k = 0; k < HEIRS; k++)
+    if (heir[k])
+      node_send(&gateway->router->node, heir[k]->addr, m);
+}
--- /dev/null
+++ b/lib/gateway/rates.c
@@ -0,0 +1,148 @@
+/** Rates of requests over the whole fleet. */
+#include "loader_internal.h"
+#include <stdio.h>
+
+/* rates and load times of the whole fleet */
+int rates_on_message(void *ctx, Wire__Envelope *in, reply *reply, error *err) {
+  gateway *gateway = ctx;
+  (void)reply;
+  (void)err;
+  Wire__Rates *q = in->rates;
+  for (size_t i = 0; q->whole && i < q->n_rates; i++) {
+    if (strlen(q->rates[i]->key) >= 100)
+      continue;
+    whole_rate *r = g_hash_table_lookup(gateway->rates_whole, q->rates[i]->key);
+    if (!r) {
+      r = g_new0(whole_rate, 1);
+      g_hash_table_insert(gateway->rates_whole, g_strdup(q->rates[i]->key), r);
+    }
+    *r = (whole_rate){ (double)q->rates[i]->total / 1000, now_of(gateway) };
+  }
+  router_rates_heard(gateway->router, q);
+  return OK;
+}
+
+/* in a large fleet rates are gathered by some collectors, each for a share of the keys: the first
+   live router for it in an order that all agree on. They say what they know of the whole to all;
+   every node telling every other one grew with the square */
+static int shard_of(const char *key) {
+  return (int)(hash_of(key, strlen(key), 7) % SHARDS);
+}
+
+static void collector(gateway *gateway, int shard, char addr[48]) {
+  char by[24];
+  id who;
+  snprintf(by, sizeof by, "rates:%d", shard);
+  if (!node_first_machine(&gateway->router->node, ROLE_ROUTER, by, none, &who, addr))
+    addr[0] = 0;
+}
+
+static void rates_send(gateway *gateway, GPtrArray *some, const char *addr, bool whole) {
+  router *router = gateway->router;
+  if (!some->len)
+    return;
+  Wire__Rates q = WIRE__RATES__INIT;
+  q.nonce = router->node.nonce;
+  q.n_rates = some->len;
+  q.rates = (Wire__Rate **)some->pdata;
+  q.whole = whole;
+  Wire__Envelope m = wire_msg(WIRE__ENVELOPE__BODY_RATES, &q);
+  if (addr) {
+    node_send(&router->node, addr, &m);
+    return;
+  }
+  node_send_all(&router->node, ROLE_ROUTER, &m);
+}
+
+/* what this node collects, told to all: only what is asked for at all, and once more when that ends
+ */
+static void rates_announce(gateway *gateway, const bool mine[SHARDS]) {
+  router *router = gateway->router;
+  GPtrArray *some = g_ptr_array_new_with_free_func(g_free);
+  GHashTableIter it;
+  gpointer k;
+  g_hash_table_iter_init(&it, router->history.tallies);
+  while (g_hash_table_iter_next(&it, &k, NULL)) {
+    if (!mine[shard_of(k)])
+      continue;
+    double rate = 0.5 * history_rate(&router->history, k) +
+                  0.5 * history_recent(&router->history, k, time_from_ms(RECENT_RATE_MS));
+    whole_rate *was = g_hash_table_lookup(gateway->rates_whole, k);
+    if (rate <= 0 && (!was || was->rate <= 0))
+      continue;
+    if (!was) {
+      was = g_new0(whole_rate, 1);
+      g_hash_table_insert(gateway->rates_whole, g_strdup(k), was);
+    }
+    *was = (whole_rate){ rate, now_of(gateway) };
+    Wire__Rate *r = g_new(Wire__Rate, 1);
+    wire__rate__init(r);
+    r->key = k;
+    r->total = (uint64_t)(rate * 1000);
+    g_ptr_array_add(some, r);
+  }
+  rates_send(gateway, some, NULL, true);
+  g_ptr_array_free(some, TRUE);
+}
+
+/* only what has changed since it was last told is told */
+void rates_run(void *p) {
+  gateway *gateway = p;
+  router *router = gateway->router;
+  uint64_t met = 0, turns = 0;
+  for (;;) {
+    history_window_fix(&router->history, (time_us){ (int64_t)((gateway->settings.rate_window_s > 0
+                                                                   ? gateway->settings.rate_window_s
+                                                                   : 20) *
+                                                              1e6) });
+    if (!world_sleep_about(router->node.world, time_from_ms(RATES_MS)))
+      return;
+    /* a node that is new here, or has started anew, hears all from the start */
+    uint64_t now_met = router->node.nonce;
+    list_for_each(x, &router->node.machines, machine, link) if (x->role == ROLE_ROUTER && !x->gone)
+        now_met += x->nonce;
+    if (now_met != met)
+      g_hash_table_remove_all(gateway->rates_told);
+    met = now_met;
+    bool many = gateway->nodes > FEW_NODES, own[SHARDS] = { false };
+    char to[SHARDS][48];
+    for (int b = 0; many && b < SHARDS; b++) {
+      collector(gateway, b, to[b]);
+      own[b] = !strcmp(to[b], router->node.settings.addr);
+    }
+    GPtrArray *all = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter it;
+    gpointer k, t;
+    g_hash_table_iter_init(&it, router->history.own_tallies);
+    while (g_hash_table_iter_next(&it, &k, &t)) {
+      int64_t *told = g_hash_table_lookup(gateway->rates_told, k),
+              total = (int64_t)((tally *)t)->total;
+      if (told && *told == total)
+        continue;
+      if (!told) {
+        told = g_new0(int64_t, 1);
+        g_hash_table_insert(gateway->rates_told, g_strdup(k), told);
+      }
+      *told = total;
+      Wire__Rate *r = g_new(Wire__Rate, 1);
+      wire__rate__init(r);
+      r->key = k;
+      r->window = history_own_count(&router->history, k, &r->total);
+      g_ptr_array_add(all, r);
+    }
+    if (!many)
+      rates_send(gateway, all, NULL, false);
+    for (int b = 0; many && b < SHARDS; b++) {
+      GPtrArray *some = g_ptr_array_new();
+      for (guint n = 0; !own[b] && n < all->len; n++)
+        if (shard_of(((Wire__Rate *)all->pdata[n])->key) == b)
+          g_ptr_array_add(some, all->pdata[n]);
+      if (to[b][0])
+        rates_send(gateway, some, to[b], false);
+      g_ptr_array_free(some, TRUE);
+    }
+    g_ptr_array_free(all, TRUE);
+    if (many && ++turns % (WHOLE_MS / RATES_MS) == 0)
+      rates_announce(gateway, own);
+  }
+}
