Why requests were not served is counted by reason, in status, metrics and the log

Sight that was missing: the logs said nothing of declines, waits for a load or the reason of a refusal.

--- a/lib/gateway/forward.c
+++ b/lib/gateway/forward.c
@@ -920,6 +920,28 @@
   return code;
 }
 
+/* why a request that ended with a code was not served; UNSERVED_COUNT when that is the caller's
+ * doing */
+static enum unserved_reason reason_of(const inflight_request *flight, int code) {
+  switch (code) {
+  case E_TOO_MUCH:
+    return UNSERVED_DECLINED;
+  case E_LEAVING:
+    return UNSERVED_LEAVING;
+  case E_STREAM_BROKEN:
+    return UNSERVED_BROKEN;
+  case E_PEER_GONE:
+    return flight->sends ? UNSERVED_COUNT : UNSERVED_LEFT_WAITING;
+  case E_MODEL:
+    return flight->status == 404 ? UNSERVED_COUNT : UNSERVED_NO_MODEL;
+  default:
+    return flight->sends                  ? UNSERVED_LATE
+           : flight->why == PICK_NO_MODEL ? UNSERVED_NO_MODEL
+           : flight->why == PICK_FULL     ? UNSERVED_BUSY
+                                          : UNSERVED_NO_ENGINE;
+  }
+}
+
 static void finish(inflight_request *flight, int code) {
   gateway *gateway = flight->gateway;
   http_request *request = flight->http;
@@ -934,6 +956,9 @@
     gateway->counts.served++;
     return;
   }
+  enum unserved_reason reason = reason_of(flight, code);
+  if (reason < UNSERVED_COUNT)
+    gateway->counts.unserved[reason]++;
   if (code == E_PEER_GONE || request->gone) {
     gateway->counts.left++;
     if (!request->ended)
@@ -1064,6 +1089,7 @@
   f.rank = came.us + (int64_t)route->priority * AGE_MS * 1000;
   condition_init(&f.wake);
   if (gateway->shut || outlasts_process(&f)) {
+    gateway->counts.unserved[UNSERVED_LEAVING]++;
     gateway->counts.refused++;
     answer(gateway, request, 503, LEAVING_BACK_MS, left, "this machine is leaving\n");
   } else {
--- a/lib/gateway/gateway.c
+++ b/lib/gateway/gateway.c
@@ -109,6 +109,7 @@
   instances_start(g);
   loader_start(g);
   forward_start(g);
+  unserved_start(g);
   return g;
 }
 
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "route_times.h"
 #include "routing.h"
 #include "router.h"
+#include "unserved.h"
 
 /* The gateway: a router that takes plain HTTP requests by routes, sends them on to registered
  * engines, and places models on those engines. It shares membership, news, contracts, history and
@@ -107,7 +108,7 @@
 /** What the gateway counts, for status, metrics and tests. */
 typedef struct gateway_counts {
   uint64_t requests, served, refused, failed, left, no_route, attempts, seconds, resumed, wants,
-      loads, unloads, orders, reports, late_loads, failed_loads;
+      loads, unloads, orders, reports, late_loads, failed_loads, unserved[UNSERVED_COUNT];
 } gateway_counts;
 
 /** Settings of a gateway; an adapter fills them, or the command line. */
@@ -335,6 +336,10 @@
 void canary_json(gateway *gateway, GString *to);
 void canary_metrics(gateway *gateway, GString *to);
 
+/* unserved.c */
+/** Starts the task that logs why requests were not served. */
+void unserved_start(gateway *gateway);
+
 /* status.c */
 /** Why a gateway is not ready; NULL when it is. */
 const char *gateway_unready(const gateway *gateway);
--- a/lib/gateway/status.c
+++ b/lib/gateway/status.c
@@ -76,6 +76,13 @@
   }
 }
 
+static void unserved_json(const gateway_counts *counts, GString *to) {
+  g_string_append(to, "\"unserved\":{");
+  for (int k = 0; k < UNSERVED_COUNT; k++)
+    json_f(to, "%s\"%s\":%" PRIu64, k ? "," : "", unserved_name(k), counts->unserved[k]);
+  g_string_append_c(to, '}');
+}
+
 void gateway_status(gateway *gateway, GString *to) {
   const gateway_counts *n = &gateway->counts;
   const char *why = gateway_unready(gateway);
@@ -93,7 +100,8 @@
       gateway->front.channels, n->requests, n->served, n->refused, n->failed, n->left, n->no_route,
       n->attempts, n->seconds, n->resumed, n->loads, n->failed_loads, gateway->load_fails,
       n->unloads, n->orders, n->reports);
-  g_string_append(to, "\"services\":[");
+  unserved_json(n, to);
+  g_string_append(to, ",\"services\":[");
   services_json(gateway, to);
   g_string_append(to, "],\"engines\":[");
   instances_json(gateway, to);
@@ -118,5 +126,8 @@
       n->requests, n->served, n->refused, n->failed, n->left, n->no_route, n->attempts, n->seconds,
       n->resumed, gateway->front.broken_off, gateway->open, up, n->loads, n->failed_loads,
       !gateway_unready(gateway));
+  for (int k = 0; k < UNSERVED_COUNT; k++)
+    json_f(to, "asterfall_gateway_unserved{reason=\"%s\"} %" PRIu64 "\n", unserved_name(k),
+           n->unserved[k]);
   canary_metrics(gateway, to);
 }
--- /dev/null
+++ b/lib/gateway/unserved.h
@@ -0,0 +1,28 @@
+#ifndef GATEWAY_UNSERVED_H
+#define GATEWAY_UNSERVED_H
+#include "base.h"
+
+/** Why a request was not served, for metrics and the log. */
+enum unserved_reason {
+  /** The engine declined it, as while an order concerns it. */
+  UNSERVED_DECLINED,
+  /** No engine holds its model, and a load would come too late. */
+  UNSERVED_NO_MODEL,
+  /** All engines that hold its model are full. */
+  UNSERVED_BUSY,
+  /** No engine takes work, or could be reached. */
+  UNSERVED_NO_ENGINE,
+  /** This machine leaves. */
+  UNSERVED_LEAVING,
+  /** The engine broke off. */
+  UNSERVED_BROKEN,
+  /** The engine gave no answer in time. */
+  UNSERVED_LATE,
+  /** The caller left while the request waited here and no engine had it. */
+  UNSERVED_LEFT_WAITING,
+  UNSERVED_COUNT
+};
+
+/** The name of a reason in metrics and the log. */
+const char *unserved_name(enum unserved_reason reason);
+#endif
--- a/tests/drain.c
+++ b/tests/drain.c
@@ -111,6 +111,8 @@
     violation(fleet, "the streams of this test last %.0f ms, too short for it", most);
   if (!late->done || late->status != 503 || fixture_runs(fixture, late, true))
     violation(fleet, "a stream that would be cut was taken (status %d)", late->status);
+  if (fixture->gateway->counts.unserved[UNSERVED_LEAVING] != 1)
+    violation(fleet, "the refusal is not counted by its reason");
   run_to_the_end(fixture);
   fixture_free(fixture);
   fixture = fixture_new(fleet, long_routes, true, 2, 8);
