--- a/lib/common/node.c
+++ b/lib/common/node.c
@@ -216,6 +216,7 @@
   /* however late the two sides are, a silence of this length is doubted */
   DOUBT_MOST_MS = 2800,
   DOUBT_LIVES_MS = 1600,
+  LATE_MOST_MS = 700,
   FORGET_MS = 600000
 };
 
@@ -449,9 +450,12 @@
   }
 }
 
-/* the latest lateness at once, and what it was before for some turns */
+/* The latest lateness at once, and what it was before for some turns. A process that stood still
+ * for longer was not late but paused, which says nothing of the time after it. */
 static void note_lateness(node *node, time_us slept_since, time_us now) {
   int64_t late_ms = time_sub(now, slept_since).us / 1000 - BEAT_MS;
+  if (late_ms > LATE_MOST_MS)
+    late_ms = 0;
   node->late_ms = MAX(MAX(late_ms, 0), node->late_ms * 3 / 4);
 }
 
@@ -597,7 +601,7 @@
   (void)err;
   machine *peer = node_find_machine(ctx, id_of_text(in->from->id));
   if (peer)
-    peer->late_ms = (int64_t)MIN(in->beat->latems, DOUBT_MOST_MS);
+    peer->late_ms = (int64_t)MIN(in->beat->latems, LATE_MOST_MS);
   return OK;
 }
 
--- a/lib/gateway/pace.c
+++ b/lib/gateway/pace.c
@@ -125,7 +125,10 @@
                 int64_t *wait, error *err) {
   gateway *gateway = instance->gateway;
   router *router = gateway->router;
-  if (service->loads_per_s <= 0) {
+  /* a new configuration may free the service while the pacer is asked */
+  double loads_per_s = service->loads_per_s;
+  id name = service->name;
+  if (loads_per_s <= 0) {
     *last = time_never();
     return OK;
   }
@@ -172,13 +175,13 @@
       return error_set(err, E_STOPPING, "stopping");
   }
   /* nobody answers for the pace: a node's own small share of it */
-  double gap = 4 * MAX(gateway->nodes, 1) / service->loads_per_s * 1000;
+  double gap = 4 * MAX(gateway->nodes, 1) / loads_per_s * 1000;
   if (gateway->spare_load.us && since_ms(gateway, gateway->spare_load) < gap) {
     *wait = 500;
     return error_set(err, E_LOAD_PACE, "nobody holds the pace");
   }
   gateway->spare_load = now_of(gateway);
-  pace_add(gateway, service->name, now_of(gateway));
+  pace_add(gateway, name, now_of(gateway));
   *last = ms_from(gateway, LAST_MS);
   return OK;
 }
