--- a/review/standin.py
+++ b/review/standin.py
@@ -226,7 +226,7 @@
         self.count = 0
         self.state = 'ready'
         self.ended = threading.Event()
-        self.server = ThreadingServer((self.ip, self.port), self.make_handler())
+        self.server = self.make_server()
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
         threading.Thread(target=self.send_beats, daemon=True).start()
 
@@ -252,6 +252,9 @@
         self.server.shutdown()
         self.server.server_close()
 
+    def make_server(self):
+        return ThreadingServer((self.ip, self.port), self.make_handler())
+
     def make_handler(self):
         engine = self
 
