--- a/review/standin.py
+++ b/review/standin.py
@@ -91,6 +91,7 @@
             ports = [(f'{net}.1.{i}', p) for i in range(1, 9) for p in (self.CONTROL_PORT, self.INNER_PORT)]
             ports += [(f'{net}.2.{i}', p) for i in range(1, 9)
                       for p in (self.FRONT_PORT, self.READY_PORT, self.INNER_PORT + 1)]
+            ports += [(f'{net}.{part}.{i}', self.ENGINE_PORT) for part in (3, 4) for i in range(1, 13)]
             if all(is_free(ip, port) for ip, port in ports):
                 return net
         raise OSError('no free loopback addresses')
@@ -222,6 +223,7 @@
     def __init__(self, fleet, record, engine_id, service, index, serve):
         self.fleet, self.record, self.id, self.service, self.serve = fleet, record, engine_id, service, serve
         self.ip, self.port = f'{fleet.net}.3.{index + 1}', fleet.ENGINE_PORT
+        self.address = self.public_address()
         self.zone = fleet.ZONES[index % 3]
         self.count = 0
         self.state = 'ready'
@@ -231,9 +233,11 @@
         threading.Thread(target=self.send_beats, daemon=True).start()
 
     def beat(self):
+        """Sends a heartbeat; True when it was acknowledged."""
         self.count += 1
-        body = {KEYS['service']: self.service, 'address': f'{self.ip}:{self.port}', 'zone': self.zone, KEYS['version']: 'v1',
+        body = {KEYS['service']: self.service, 'address': self.address, 'zone': self.zone, KEYS['version']: 'v1',
                 KEYS['slots']: 8, KEYS['state']: self.state, 'coldMs': 0, KEYS['count']: self.count}
+        body.update(self.more_of_beat())
         path = CALLS['HEARTBEAT'].replace('{}', self.id)
         for attempt in range(3):
             status, _, _ = call(self.fleet.control(self.count + attempt), 'POST', path, json.dumps(body),
@@ -242,6 +246,13 @@
                 return True
         return False
 
+    def public_address(self):
+        """The address under which it registers."""
+        return f'{self.ip}:{self.port}'
+
+    def more_of_beat(self):
+        return {}
+
     def send_beats(self):
         while not self.ended.is_set():
             self.beat()
@@ -327,6 +338,8 @@
     if not os.path.exists(PROGRAM):
         print('the deploy file was not built')
         sys.exit(NOT_RUN)
+    # at the end of the time the processes are ended, too
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     record = Record(folder)
     fleet = Fleet(record)
     result = NOT_RUN
